--- /dev/null
+++ b/src/apps/node_main.cpp
@@ -0,0 +1,49 @@
+#include "apps/command_line.hpp"
+#include "apps/structured_log.hpp"
+#include "node/node.hpp"
+#include "schema/settings.hpp"
+
+#include <iostream>
+
+namespace
+{
+using namespace bilberrytally;
+
+base::result<int> run(int argc, const char** argv)
+{
+    BOOST_LEAF_AUTO(
+        line,
+        app::command_line::parse(
+            argc, argv,
+            {{"settings", 's', "Settings file (INI)", "FILE"},
+             {"check-settings", 'c', "Validate the settings and exit", ""}},
+            "--settings FILE"));
+    if (!line.has("settings") || !line.arguments().empty())
+    {
+        return base::fail("command line", "expected --settings FILE");
+    }
+    BOOST_LEAF_AUTO(
+        settings, schema::read_node_settings(line.value("settings")));
+    if (line.has("check-settings"))
+    {
+        std::cout << line.value("settings") << ": valid\n";
+        return 0;
+    }
+    const app::structured_log log(
+        argv[0], settings.log.level, settings.log.flush_s);
+    BOOST_LEAF_AUTO(node, node::node::start(settings));
+    LOG(INFO) << "event=started instance=" << settings.node.instance;
+    return node->run();
+}
+} // namespace
+
+int main(int argc, const char** argv)
+{
+    return base::handle(
+        [&] { return run(argc, argv); },
+        [](const base::error& failure)
+        {
+            std::cerr << "bilberrytally-node: " << failure.text() << '\n';
+            return app::exit_usage;
+        });
+}
--- /dev/null
+++ b/src/base/time.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace bilberrytally::base
+{
+//! A span of time in milliseconds.
+struct duration_ms
+{
+    std::int64_t count{0};
+
+    auto operator<=>(const duration_ms&) const = default;
+
+    constexpr duration_ms operator+(duration_ms other) const
+    {
+        return {this->count + other.count};
+    }
+    constexpr duration_ms operator-(duration_ms other) const
+    {
+        return {this->count - other.count};
+    }
+    constexpr duration_ms operator*(std::int64_t factor) const
+    {
+        return {this->count * factor};
+    }
+};
+
+//! A point on the monotonic clock in milliseconds.
+struct time_ms
+{
+    std::int64_t count{0};
+
+    auto operator<=>(const time_ms&) const = default;
+
+    constexpr time_ms operator+(duration_ms span) const
+    {
+        return {this->count + span.count};
+    }
+    constexpr time_ms operator-(duration_ms span) const
+    {
+        return {this->count - span.count};
+    }
+    constexpr duration_ms operator-(time_ms other) const
+    {
+        return {this->count - other.count};
+    }
+};
+
+//! Reads the monotonic clock; it keeps running while the process is stopped.
+time_ms now();
+
+//! Reads the wall clock in milliseconds since the epoch.
+std::uint64_t wall_now_ms();
+} // namespace bilberrytally::base
--- /dev/null
+++ b/src/decisions/internal/admission.cpp
@@ -0,0 +1,381 @@
+#include "decisions/admission.hpp"
+
+#include <algorithm>
+
+namespace bilberrytally::decisions
+{
+namespace
+{
+constexpr base::duration_ms default_max_wait{500};
+constexpr base::duration_ms overload_wait{50};
+constexpr base::duration_ms overload_hold{1000};
+constexpr base::duration_ms floor_hold{1000};
+constexpr std::size_t max_waiting = 10000;
+constexpr std::size_t max_routes = 1024;
+constexpr std::uint64_t min_samples = 20;
+constexpr double long_ratio = 8.0;
+constexpr base::duration_ms long_minimum{200};
+constexpr unsigned hash_level_shift = 61;
+constexpr double wait_weight = 0.1;
+constexpr base::time_ms never{INT64_MIN / 2};
+} // namespace
+
+admission::admission(std::uint32_t slots)
+    : limit(slots), max_wait(default_max_wait)
+{
+    this->refused_at.fill(never);
+}
+
+void admission::apply(const schema::service_policy& policy)
+{
+    this->limit.set_slots(policy.slots);
+    this->max_wait = {policy.max_wait_ms};
+    this->long_share_percent = policy.long_share_percent;
+}
+
+admission_actions
+admission::offer(const admission_request& request, base::time_ms now)
+{
+    auto actions = this->expire(now);
+    const auto service = this->expected_service(request.route);
+    const auto wait = this->expected_wait(request, now);
+    if (now + wait + service > request.deadline)
+    {
+        //! A call that waits for others is doomed by load, not by its caller.
+        const bool by_load = now + service <= request.deadline;
+        if (by_load)
+        {
+            this->shed_lesser(request.priority, now, actions);
+            this->note_refusal(request.priority, now);
+        }
+        actions.refuse.push_back(
+            {request.id,
+             by_load ? schema::refusal::overload : schema::refusal::deadline});
+        return actions;
+    }
+    this->enqueue(request, now);
+    this->start_waiting(now, actions);
+    this->trim(now, actions);
+    return actions;
+}
+
+admission_actions admission::finish(
+    std::uint64_t id, completion kind, base::duration_ms service_time,
+    base::time_ms now)
+{
+    admission_actions actions;
+    const auto found = this->running.find(id);
+    if (found == this->running.end())
+    {
+        return actions;
+    }
+    const auto call = found->second;
+    this->running.erase(found);
+    this->long_running -= call.long_work ? 1 : 0;
+    double stretch = 1;
+    if (kind == completion::served)
+    {
+        auto& times = this->route_times(call.route);
+        const auto usual = times.quantile(0.5).count;
+        const bool known = times.count() >= min_samples && usual > 0;
+        stretch = known ? static_cast<double>(service_time.count) /
+                              static_cast<double>(usual)
+                        : 1;
+        times.add(service_time);
+        this->all_service_times.add(service_time);
+    }
+    this->limit.on_completion(kind, stretch, this->in_flight(), now);
+    actions = this->expire(now);
+    this->start_waiting(now, actions);
+    return actions;
+}
+
+bool admission::cancel_waiting(std::uint64_t id)
+{
+    for (auto& lane : this->lanes)
+    {
+        if (lane.count(id) != 0)
+        {
+            this->erase_waiting(lane, id);
+            return true;
+        }
+    }
+    return false;
+}
+
+admission_actions admission::expire(base::time_ms now)
+{
+    admission_actions actions;
+    for (auto& lane : this->lanes)
+    {
+        auto& index = lane.get<by_expiry>();
+        while (!index.empty() && index.begin()->expires <= now)
+        {
+            const auto call = *index.begin();
+            this->erase_waiting(lane, call.id);
+            const bool late = call.request.deadline <= now;
+            actions.refuse.push_back(
+                {call.id,
+                 late ? schema::refusal::deadline : schema::refusal::overload});
+            this->shed_lesser(call.request.priority, now, actions);
+            this->note_refusal(call.request.priority, now);
+        }
+    }
+    return actions;
+}
+
+admission_actions admission::refuse_all(schema::refusal reason)
+{
+    admission_actions actions;
+    for (auto& lane : this->lanes)
+    {
+        for (const auto& call : lane)
+        {
+            actions.refuse.push_back({call.id, reason});
+        }
+        lane.clear();
+    }
+    this->waiting_per_class.fill(0);
+    return actions;
+}
+
+schema::load_report admission::report(base::time_ms now) const
+{
+    schema::load_report report;
+    report.valid = true;
+    report.queue_delay_ms =
+        this->waiting() == 0 ? 0
+                             : static_cast<std::uint32_t>(this->recent_wait_ms);
+    report.in_flight =
+        this->in_flight() + static_cast<std::uint32_t>(this->waiting());
+    report.limit = this->limit.value();
+    report.floor = UINT8_MAX;
+    for (std::uint32_t i = priority_classes; i > 0; --i)
+    {
+        if (now - this->refused_at[i - 1] < floor_hold)
+        {
+            report.floor = i - 1;
+        }
+    }
+    return report;
+}
+
+std::uint32_t admission::in_flight() const
+{
+    return static_cast<std::uint32_t>(this->running.size());
+}
+
+std::size_t admission::waiting() const
+{
+    return this->lanes[0].size() + this->lanes[1].size();
+}
+
+bool admission::is_overloaded(base::time_ms now) const
+{
+    return now < this->overloaded_until;
+}
+
+bool admission::is_long(const admission_request& request) const
+{
+    if (request.long_work)
+    {
+        return true;
+    }
+    const auto found = this->service_times.find(request.route);
+    if (found == this->service_times.end() ||
+        found->second.count() < min_samples)
+    {
+        return false;
+    }
+    const auto usual = found->second.quantile(0.5);
+    const auto all = this->all_service_times.quantile(0.25);
+    return usual >= long_minimum &&
+           static_cast<double>(usual.count) >
+               long_ratio * static_cast<double>(all.count);
+}
+
+std::uint32_t admission::long_cap() const
+{
+    const auto share = this->limit.value() * this->long_share_percent / 100;
+    return std::max(1U, share);
+}
+
+bool admission::lane_has_room(bool long_work) const
+{
+    if (this->in_flight() >= this->limit.value())
+    {
+        return false;
+    }
+    return !long_work || this->long_running < this->long_cap();
+}
+
+admission::order_key
+admission::order_of(const admission_request& request, base::time_ms now)
+{
+    ++this->sequence;
+    const auto depth = -static_cast<std::int64_t>(request.depth);
+    if (!this->is_overloaded(now))
+    {
+        return {request.priority, depth, 0, this->sequence};
+    }
+    const auto level = request.root_hash >> hash_level_shift;
+    return {request.priority, depth, level, -this->sequence};
+}
+
+base::duration_ms admission::expected_wait(
+    const admission_request& request, base::time_ms now) const
+{
+    const bool long_work = this->is_long(request);
+    if (this->lane_has_room(long_work) && this->waiting() == 0)
+    {
+        return {0};
+    }
+    std::size_t ahead = 0;
+    for (std::uint32_t i = 0; i < request.priority; ++i)
+    {
+        ahead += this->waiting_per_class[i];
+    }
+    const auto same = this->waiting_per_class[request.priority];
+    ahead += this->is_overloaded(now) ? same / 2 : same;
+    const double per_slot =
+        static_cast<double>(ahead) / static_cast<double>(this->limit.value());
+    return {
+        static_cast<std::int64_t>(per_slot * this->all_service_times.mean())};
+}
+
+base::duration_ms admission::expected_service(std::uint64_t route) const
+{
+    const auto found = this->service_times.find(route);
+    if (found == this->service_times.end() ||
+        found->second.count() < min_samples)
+    {
+        return {0};
+    }
+    return found->second.quantile(0.5);
+}
+
+void admission::start(const admission_request& request)
+{
+    const bool long_work = this->is_long(request);
+    this->running.emplace(request.id, running_call{long_work, request.route});
+    this->long_running += long_work ? 1 : 0;
+}
+
+void admission::enqueue(const admission_request& request, base::time_ms now)
+{
+    const auto service = this->expected_service(request.route);
+    const auto last_start = request.deadline - service;
+    const auto expires = std::min(last_start, now + this->max_wait);
+    auto& lane = this->lanes[this->is_long(request) ? 1 : 0];
+    const auto order = this->order_of(request, now);
+    lane.insert({request.id, order, expires, now, request});
+    ++this->waiting_per_class[request.priority];
+}
+
+void admission::erase_waiting(queue& lane, std::uint64_t id)
+{
+    const auto found = lane.find(id);
+    --this->waiting_per_class[found->request.priority];
+    lane.erase(found);
+}
+
+admission::queue* admission::next_lane()
+{
+    auto& short_lane = this->lanes[0];
+    auto& long_lane = this->lanes[1];
+    const bool short_ready = !short_lane.empty() && this->lane_has_room(false);
+    const bool long_ready = !long_lane.empty() && this->lane_has_room(true);
+    if (!short_ready || !long_ready)
+    {
+        return short_ready ? &short_lane : long_ready ? &long_lane : nullptr;
+    }
+    const auto short_class =
+        std::get<0>(short_lane.get<by_order>().begin()->order);
+    const auto long_class =
+        std::get<0>(long_lane.get<by_order>().begin()->order);
+    if (short_class != long_class)
+    {
+        return short_class < long_class ? &short_lane : &long_lane;
+    }
+    //! One running long call is guaranteed, so that long work is not starved.
+    return this->long_running == 0 ? &long_lane : &short_lane;
+}
+
+void admission::start_waiting(base::time_ms now, admission_actions& actions)
+{
+    while (auto* lane = this->next_lane())
+    {
+        const auto call = *lane->get<by_order>().begin();
+        this->erase_waiting(*lane, call.id);
+        const auto waited = now - call.arrived;
+        this->recent_wait_ms +=
+            wait_weight *
+            (static_cast<double>(waited.count) - this->recent_wait_ms);
+        if (waited > overload_wait)
+        {
+            this->overloaded_until = now + overload_hold;
+        }
+        this->start(call.request);
+        actions.start.push_back(call.id);
+    }
+}
+
+admission::queue& admission::least_important_lane()
+{
+    const auto worst = [](const queue& lane)
+    {
+        const auto& index = lane.get<by_order>();
+        return index.empty() ? order_key{} : std::prev(index.end())->order;
+    };
+    const bool first = worst(this->lanes[0]) >= worst(this->lanes[1]);
+    return this->lanes[first ? 0 : 1];
+}
+
+void admission::trim(base::time_ms now, admission_actions& actions)
+{
+    while (this->waiting() > max_waiting)
+    {
+        auto& lane = this->least_important_lane();
+        const auto last = *std::prev(lane.get<by_order>().end());
+        this->erase_waiting(lane, last.id);
+        actions.refuse.push_back({last.id, schema::refusal::overload});
+        this->note_refusal(last.request.priority, now);
+    }
+}
+
+void admission::shed_lesser(
+    std::uint32_t priority, base::time_ms now, admission_actions& actions)
+{
+    for (auto& lane : this->lanes)
+    {
+        auto& index = lane.get<by_order>();
+        while (!index.empty())
+        {
+            const auto last = *std::prev(index.end());
+            if (last.request.priority <= priority)
+            {
+                break;
+            }
+            this->erase_waiting(lane, last.id);
+            actions.refuse.push_back({last.id, schema::refusal::overload});
+            this->note_refusal(last.request.priority, now);
+        }
+    }
+}
+
+void admission::note_refusal(std::uint32_t priority, base::time_ms now)
+{
+    this->refused_at[priority] = now;
+    this->overloaded_until = now + overload_hold;
+}
+
+latency_histogram& admission::route_times(std::uint64_t route)
+{
+    if (this->service_times.size() >= max_routes &&
+        this->service_times.count(route) == 0)
+    {
+        this->service_times.erase(this->service_times.begin());
+    }
+    return this->service_times[route];
+}
+} // namespace bilberrytally::decisions
--- /dev/null
+++ b/src/decisions/internal/concurrency_limit.cpp
@@ -0,0 +1,70 @@
+#include "decisions/concurrency_limit.hpp"
+
+#include <algorithm>
+
+namespace bilberrytally::decisions
+{
+namespace
+{
+constexpr base::duration_ms decrease_interval{100};
+constexpr double shed_factor = 0.9;
+constexpr double stretch_factor = 0.95;
+constexpr double shed_lowest_share = 0.1;
+constexpr double stretch_lowest_share = 0.5;
+constexpr double stretch_threshold = 2.0;
+constexpr double stretch_weight = 0.1;
+constexpr double growth_per_completion = 0.05;
+} // namespace
+
+concurrency_limit::concurrency_limit(std::uint32_t slots)
+    : slots(slots), current(slots)
+{
+}
+
+void concurrency_limit::set_slots(std::uint32_t slots)
+{
+    const double ratio = this->current / this->slots;
+    this->slots = slots;
+    this->current = std::max(1.0, ratio * this->slots);
+}
+
+void concurrency_limit::on_completion(
+    completion kind, double stretch, std::uint32_t in_flight, base::time_ms now)
+{
+    if (kind == completion::ignored)
+    {
+        return;
+    }
+    if (kind != completion::served)
+    {
+        this->decrease(shed_factor, shed_lowest_share, now);
+        return;
+    }
+    this->recent_stretch += stretch_weight * (stretch - this->recent_stretch);
+    const bool busy = in_flight + 1 >= this->value();
+    if (this->recent_stretch > stretch_threshold && busy)
+    {
+        this->decrease(stretch_factor, stretch_lowest_share, now);
+        return;
+    }
+    this->current =
+        std::min(this->slots, this->current + growth_per_completion);
+}
+
+std::uint32_t concurrency_limit::value() const
+{
+    return std::max(1U, static_cast<std::uint32_t>(this->current));
+}
+
+void concurrency_limit::decrease(
+    double factor, double lowest, base::time_ms now)
+{
+    if (now - this->last_decrease < decrease_interval)
+    {
+        return;
+    }
+    this->last_decrease = now;
+    const double bound = std::min(this->current, this->slots * lowest);
+    this->current = std::max({1.0, bound, this->current * factor});
+}
+} // namespace bilberrytally::decisions
--- /dev/null
+++ b/src/decisions/internal/latency_histogram.cpp
@@ -0,0 +1,68 @@
+#include "decisions/latency_histogram.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bilberrytally::decisions
+{
+namespace
+{
+constexpr double lowest_ms = 1;
+constexpr double highest_ms = 1e6;
+constexpr unsigned bucket_count = 120;
+constexpr std::uint64_t decay_interval = 256;
+constexpr double mean_weight = 0.05;
+} // namespace
+
+latency_histogram::latency_histogram()
+    : buckets(
+          std::make_tuple(axis(bucket_count, lowest_ms, highest_ms)),
+          boost::histogram::dense_storage<double>())
+{
+}
+
+void latency_histogram::add(base::duration_ms sample)
+{
+    const double value = std::max(static_cast<double>(sample.count), lowest_ms);
+    this->buckets(value);
+    this->recent_mean =
+        this->samples == 0
+            ? value
+            : this->recent_mean + mean_weight * (value - this->recent_mean);
+    ++this->samples;
+    if (this->samples % decay_interval == 0)
+    {
+        this->buckets *= 0.5;
+    }
+}
+
+base::duration_ms latency_histogram::quantile(double share) const
+{
+    double total = 0;
+    for (const double weight : this->buckets)
+    {
+        total += weight;
+    }
+    double seen = 0;
+    const auto& scale = this->buckets.axis(0);
+    for (int i = 0; total > 0 && i < scale.size(); ++i)
+    {
+        seen += this->buckets.at(i);
+        if (seen >= share * total)
+        {
+            return {static_cast<std::int64_t>(std::lround(scale.value(i)))};
+        }
+    }
+    return {0};
+}
+
+double latency_histogram::mean() const
+{
+    return this->recent_mean;
+}
+
+std::uint64_t latency_histogram::count() const
+{
+    return this->samples;
+}
+} // namespace bilberrytally::decisions
--- /dev/null
+++ b/src/decisions/internal/quarantine.cpp
@@ -0,0 +1,114 @@
+#include "decisions/quarantine.hpp"
+
+#include <algorithm>
+
+namespace bilberrytally::decisions
+{
+namespace
+{
+constexpr base::duration_ms strike_lifetime{600000};
+constexpr std::size_t max_entries = 10000;
+constexpr std::size_t refuse_strikes = 2;
+} // namespace
+
+void quarantine::strike(
+    std::uint64_t fingerprint, const std::string& death, base::time_ms now)
+{
+    if (this->entries.size() >= max_entries &&
+        this->entries.count(fingerprint) == 0)
+    {
+        this->forget_old(now);
+    }
+    auto& entry = this->entries[fingerprint];
+    entry.deaths.insert(death);
+    entry.last_strike = now;
+}
+
+std::set<std::string>
+quarantine::struck_instances(std::uint64_t fingerprint) const
+{
+    std::set<std::string> instances;
+    const auto found = this->entries.find(fingerprint);
+    if (found != this->entries.end())
+    {
+        for (const auto& death : found->second.deaths)
+        {
+            instances.insert(death.substr(0, death.rfind('#')));
+        }
+    }
+    return instances;
+}
+
+void quarantine::clear(std::uint64_t fingerprint)
+{
+    this->entries.erase(fingerprint);
+}
+
+quarantine_decision quarantine::check(
+    std::uint64_t fingerprint, const std::string& self,
+    const std::string& trial_target, base::time_ms now)
+{
+    if (!this->is_struck(fingerprint, now))
+    {
+        return quarantine_decision::pass;
+    }
+    if (this->entries.at(fingerprint).deaths.size() >= refuse_strikes)
+    {
+        return quarantine_decision::refuse;
+    }
+    if (self != trial_target)
+    {
+        return quarantine_decision::elsewhere;
+    }
+    if (this->on_trial)
+    {
+        return quarantine_decision::wait;
+    }
+    this->on_trial = fingerprint;
+    return quarantine_decision::trial;
+}
+
+void quarantine::end_trial(std::uint64_t fingerprint)
+{
+    if (this->on_trial == fingerprint)
+    {
+        this->on_trial.reset();
+    }
+}
+
+bool quarantine::is_struck(std::uint64_t fingerprint, base::time_ms now) const
+{
+    const auto found = this->entries.find(fingerprint);
+    return found != this->entries.end() &&
+           now - found->second.last_strike < strike_lifetime;
+}
+
+std::vector<quarantine_view> quarantine::view(base::time_ms now) const
+{
+    std::vector<quarantine_view> rows;
+    for (const auto& [fingerprint, entry] : this->entries)
+    {
+        if (this->is_struck(fingerprint, now))
+        {
+            const auto count = static_cast<std::uint32_t>(entry.deaths.size());
+            rows.push_back({fingerprint, count});
+        }
+    }
+    return rows;
+}
+
+void quarantine::forget_old(base::time_ms now)
+{
+    std::erase_if(
+        this->entries, [&](const auto& item)
+        { return now - item.second.last_strike >= strike_lifetime; });
+    while (this->entries.size() >= max_entries)
+    {
+        const auto oldest = std::min_element(
+            this->entries.begin(), this->entries.end(),
+            [](const auto& a, const auto& b)
+            { return a.second.last_strike < b.second.last_strike; });
+        this->entries.erase(oldest);
+    }
+}
+} // namespace bilberrytally::decisions
--- /dev/null
+++ b/src/decisions/internal/reader_schedule.cpp
@@ -0,0 +1,92 @@
+#include "decisions/reader_schedule.hpp"
+
+#include <algorithm>
+#include <bit>
+
+namespace bilberrytally::decisions
+{
+namespace
+{
+constexpr base::duration_ms takeover_base{3000};
+constexpr base::duration_ms takeover_step{1000};
+constexpr base::duration_ms first_backoff{250};
+constexpr base::duration_ms shortest_cap{5000};
+//! Failing reads of the whole fleet per second, at the most.
+constexpr std::int64_t fleet_reads_per_s = 200;
+//! First reads of a fleet that starts all at once, per second.
+constexpr std::int64_t cold_reads_per_s = 400;
+constexpr std::uint32_t max_doublings = 20;
+} // namespace
+
+reader_schedule::reader_schedule(
+    std::uint32_t readers_per_zone, std::uint32_t expected_fleet,
+    base::duration_ms watch_wait, std::mt19937_64& random, base::time_ms now)
+    : readers_per_zone(readers_per_zone), fleet(expected_fleet),
+      rank(expected_fleet), watch_wait(watch_wait), last_zone_read(now),
+      next_read(now)
+{
+    //! Spreads the first reads of a fleet that starts all at once.
+    const auto longest =
+        static_cast<std::int64_t>(expected_fleet) * 1000 / cold_reads_per_s;
+    std::uniform_int_distribution<std::int64_t> pick(0, longest);
+    this->next_read = now + base::duration_ms{pick(random)};
+}
+
+void reader_schedule::set_rank(
+    std::uint32_t rank, std::uint32_t members, std::uint32_t fleet)
+{
+    this->rank = rank;
+    this->members = members;
+    this->fleet = fleet;
+    this->rank_known = true;
+}
+
+void reader_schedule::on_zone_read(base::duration_ms age, base::time_ms now)
+{
+    this->last_zone_read = std::max(this->last_zone_read, now - age);
+}
+
+void reader_schedule::on_success(base::time_ms now)
+{
+    this->failures = 0;
+    this->last_zone_read = now;
+    this->next_read = now;
+}
+
+void reader_schedule::on_failure(std::mt19937_64& random, base::time_ms now)
+{
+    const auto doublings = std::min(this->failures, max_doublings);
+    ++this->failures;
+    const base::duration_ms fair{
+        static_cast<std::int64_t>(this->fleet) * 1000 / fleet_reads_per_s};
+    const auto cap = std::max(shortest_cap, fair * 2);
+    const auto longest =
+        std::min(cap, first_backoff * (std::int64_t{1} << doublings));
+    std::uniform_int_distribution<std::int64_t> pick(
+        longest.count / 2, longest.count);
+    this->next_read = now + base::duration_ms{pick(random)};
+}
+
+bool reader_schedule::should_read(base::time_ms now) const
+{
+    return now >= this->next_read && this->zone_age(now) >= this->patience();
+}
+
+base::duration_ms reader_schedule::zone_age(base::time_ms now) const
+{
+    return now - this->last_zone_read;
+}
+
+base::duration_ms reader_schedule::patience() const
+{
+    if (!this->rank_known || this->rank < this->readers_per_zone)
+    {
+        return {0};
+    }
+    const auto group = this->rank / this->readers_per_zone;
+    //! News of a read needs some rounds of digests to reach the whole zone.
+    const auto rounds = std::bit_width(this->members);
+    return this->watch_wait + takeover_base + takeover_step * rounds +
+           takeover_step * group;
+}
+} // namespace bilberrytally::decisions
--- /dev/null
+++ b/src/decisions/internal/retry_budget.cpp
@@ -0,0 +1,76 @@
+#include "decisions/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace bilberrytally::decisions
+{
+namespace
+{
+constexpr double initial_tokens = 5;
+constexpr double max_tokens = 20;
+} // namespace
+
+retry_budget::retry_budget(std::uint32_t attempts) : attempts(attempts)
+{
+}
+
+std::uint32_t retry_budget::take_for_child()
+{
+    const auto part = (this->attempts + 1) / 2;
+    this->attempts -= part;
+    return part;
+}
+
+std::uint32_t retry_budget::take_for_dispatch()
+{
+    const auto part = this->attempts > 0 ? this->attempts - 1 : 0;
+    this->attempts -= part;
+    return part;
+}
+
+void retry_budget::give_back(std::uint32_t attempts)
+{
+    this->attempts += attempts;
+}
+
+bool retry_budget::spend()
+{
+    if (this->attempts == 0)
+    {
+        return false;
+    }
+    --this->attempts;
+    return true;
+}
+
+std::uint32_t retry_budget::left() const
+{
+    return this->attempts;
+}
+
+void retry_ratio::on_fresh_call(
+    const std::string& service, std::uint32_t percent)
+{
+    const auto [entry, added] =
+        this->buckets.try_emplace(service, initial_tokens);
+    entry->second = std::min(max_tokens, entry->second + percent / 100.0);
+}
+
+bool retry_ratio::allow_retry(const std::string& service)
+{
+    const auto [entry, added] =
+        this->buckets.try_emplace(service, initial_tokens);
+    if (entry->second < 1)
+    {
+        return false;
+    }
+    entry->second -= 1;
+    return true;
+}
+
+double retry_ratio::tokens(const std::string& service) const
+{
+    const auto found = this->buckets.find(service);
+    return found == this->buckets.end() ? initial_tokens : found->second;
+}
+} // namespace bilberrytally::decisions
--- /dev/null
+++ b/src/decisions/internal/spread_tree.cpp
@@ -0,0 +1,67 @@
+#include "decisions/spread_tree.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace bilberrytally::decisions
+{
+namespace
+{
+constexpr std::size_t fan_out = 4;
+constexpr std::uint64_t reader_seed = 0x7265616465727300;
+
+using ranked = std::vector<std::pair<std::uint64_t, std::string>>;
+
+ranked rank_members(const std::vector<std::string>& members, std::uint64_t seed)
+{
+    ranked order;
+    order.reserve(members.size());
+    for (const auto& member : members)
+    {
+        order.emplace_back(base::hash(member, seed), member);
+    }
+    std::sort(order.begin(), order.end());
+    return order;
+}
+} // namespace
+
+std::vector<std::string> spread_children(
+    const std::vector<std::string>& members, const std::string& self,
+    std::uint64_t document_digest, bool from_outside)
+{
+    std::set<std::string> children;
+    for (std::uint64_t tree = 0; tree < spread_trees; ++tree)
+    {
+        const auto order =
+            rank_members(members, base::combine(document_digest, tree));
+        const auto own = std::pair(
+            base::hash(self, base::combine(document_digest, tree)), self);
+        const auto place = static_cast<std::size_t>(
+            std::lower_bound(order.begin(), order.end(), own) - order.begin());
+        const auto first = place * fan_out + 1;
+        for (auto i = first; i < first + fan_out && i < order.size(); ++i)
+        {
+            children.insert(order[i].second);
+        }
+        if (from_outside && !order.empty())
+        {
+            children.insert(order.front().second);
+        }
+    }
+    children.erase(self);
+    return {children.begin(), children.end()};
+}
+
+std::uint32_t
+reader_rank(const std::vector<std::string>& members, const std::string& self)
+{
+    const auto own = base::hash(self, reader_seed);
+    return static_cast<std::uint32_t>(std::count_if(
+        members.begin(), members.end(),
+        [&](const auto& member)
+        { return base::hash(member, reader_seed) < own; }));
+}
+} // namespace bilberrytally::decisions
--- /dev/null
+++ b/src/decisions/internal/target_table.cpp
@@ -0,0 +1,417 @@
+#include "decisions/target_table.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+
+namespace bilberrytally::decisions
+{
+namespace
+{
+constexpr std::size_t subset_size = 12;
+constexpr base::duration_ms cold_start{10000};
+constexpr double cold_lowest_share = 0.1;
+constexpr base::duration_ms unreachable_first{100};
+constexpr base::duration_ms unreachable_longest{2000};
+constexpr base::duration_ms ejection_time{1000};
+constexpr base::duration_ms probe_interval{500};
+constexpr base::duration_ms floor_lapse{1000};
+constexpr unsigned floor_probe_one_in = 10;
+constexpr double slow_ratio = 3.0;
+constexpr double slow_minimum_ms = 5.0;
+constexpr std::uint64_t slow_min_samples = 10;
+constexpr std::uint32_t failure_threshold = 5;
+constexpr std::size_t ejected_share = 3;
+constexpr double latency_weight = 0.2;
+constexpr double saturation = 1.5;
+constexpr std::uint32_t no_floor = 255;
+} // namespace
+
+std::string_view to_string(target_state state)
+{
+    switch (state)
+    {
+    case target_state::available:
+        return "available";
+    case target_state::listed_leaving:
+        return "listed_leaving";
+    case target_state::draining:
+        return "draining";
+    case target_state::unreachable:
+        return "unreachable";
+    case target_state::ejected:
+        return "ejected";
+    }
+    return "unknown";
+}
+
+target_table::target_table(std::string self, std::string zone)
+    : self(std::move(self)), zone(std::move(zone))
+{
+}
+
+void target_table::apply(const schema::instance_list& list, base::time_ms now)
+{
+    std::set<std::string> listed;
+    for (const auto& instance : list.instances)
+    {
+        listed.insert(instance.id);
+        const auto [entry, added] = this->targets.try_emplace(instance.id);
+        auto& target = entry->second;
+        const target_address address{instance.id, instance.host, instance.port};
+        if (!added && target.address != address)
+        {
+            target = {};
+        }
+        if (added || target.address != address)
+        {
+            target.first_seen = now;
+            target.new_comer = this->list_known;
+        }
+        target.address = address;
+        target.zone = instance.zone;
+        target.listed_leaving =
+            instance.state == schema::instance_state::leaving;
+    }
+    std::erase_if(
+        this->targets,
+        [&](const auto& entry) { return listed.count(entry.first) == 0; });
+    this->list_known = true;
+}
+
+std::optional<target_address> target_table::choose(
+    const std::set<std::string>& excluded, std::mt19937_64& random,
+    base::time_ms now)
+{
+    if (auto* probed = this->probe_due(excluded, now))
+    {
+        probed->last_probe = now;
+        return probed->address;
+    }
+    auto pool = this->candidates(excluded, now);
+    if (pool.empty())
+    {
+        return std::nullopt;
+    }
+    return this->better_of_two(pool, random, now)->address;
+}
+
+bool target_table::floor_refuses(
+    std::uint32_t priority, std::mt19937_64& random, base::time_ms now) const
+{
+    bool any = false;
+    for (const auto& [id, candidate] : this->targets)
+    {
+        if (this->state_of(candidate, now) != target_state::available)
+        {
+            continue;
+        }
+        any = true;
+        if (candidate.floor_until <= now || candidate.floor >= priority)
+        {
+            return false;
+        }
+    }
+    return any && random() % floor_probe_one_in != 0;
+}
+
+void target_table::on_dispatch(const std::string& instance, base::time_ms now)
+{
+    const auto found = this->targets.find(instance);
+    if (found == this->targets.end())
+    {
+        return;
+    }
+    ++found->second.in_flight;
+    if (this->state_of(found->second, now) == target_state::ejected)
+    {
+        found->second.last_probe = now;
+    }
+}
+
+void target_table::on_result(
+    const std::string& instance, const dispatch_result& result,
+    base::time_ms now)
+{
+    const auto found = this->targets.find(instance);
+    if (found == this->targets.end())
+    {
+        return;
+    }
+    auto& target = found->second;
+    target.in_flight -= std::min(target.in_flight, 1U);
+    if (result.load.valid)
+    {
+        target.reported_in_flight = result.load.in_flight;
+        target.reported_limit = result.load.limit;
+        target.draining = result.load.draining;
+        target.floor = result.load.floor;
+        target.floor_until = result.load.floor == no_floor
+                                 ? base::time_ms{INT64_MIN / 2}
+                                 : now + floor_lapse;
+    }
+    target.failures = result.answered ? 0 : target.failures + 1;
+    if (!result.refused)
+    {
+        const auto sample = static_cast<double>(result.latency.count);
+        target.latency_ms =
+            target.samples == 0
+                ? sample
+                : target.latency_ms +
+                      latency_weight * (sample - target.latency_ms);
+        ++target.samples;
+    }
+    this->eject_if_slow(target, now);
+}
+
+void target_table::on_unreachable(
+    const std::string& instance, base::time_ms now)
+{
+    const auto found = this->targets.find(instance);
+    if (found == this->targets.end())
+    {
+        return;
+    }
+    auto& target = found->second;
+    target.unreachable_for =
+        target.unreachable_for.count == 0
+            ? unreachable_first
+            : std::min(target.unreachable_for * 2, unreachable_longest);
+    target.unreachable_until = now + target.unreachable_for;
+}
+
+void target_table::on_reachable(const std::string& instance)
+{
+    const auto found = this->targets.find(instance);
+    if (found != this->targets.end())
+    {
+        found->second.unreachable_for = {0};
+        found->second.unreachable_until = {INT64_MIN / 2};
+    }
+}
+
+void target_table::on_draining(const std::string& instance, bool draining)
+{
+    const auto found = this->targets.find(instance);
+    if (found != this->targets.end())
+    {
+        found->second.draining = draining;
+    }
+}
+
+std::optional<target_address> target_table::owner(
+    std::uint64_t key, const std::set<std::string>& excluded) const
+{
+    const target* best = nullptr;
+    std::uint64_t best_score = 0;
+    for (const auto& [id, candidate] : this->targets)
+    {
+        if (excluded.count(id) != 0)
+        {
+            continue;
+        }
+        const auto score = base::hash(id, key);
+        if (best == nullptr || score > best_score)
+        {
+            best = &candidate;
+            best_score = score;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->address);
+}
+
+std::optional<target_address>
+target_table::find(const std::string& instance) const
+{
+    const auto found = this->targets.find(instance);
+    return found == this->targets.end() ? std::nullopt
+                                        : std::optional(found->second.address);
+}
+
+std::vector<target_view> target_table::view(base::time_ms now) const
+{
+    std::vector<target_view> rows;
+    for (const auto& [id, item] : this->targets)
+    {
+        const auto floor = item.floor_until > now ? item.floor : no_floor;
+        rows.push_back(
+            {item.address, item.zone, this->state_of(item, now), item.in_flight,
+             item.latency_ms, floor});
+    }
+    std::sort(
+        rows.begin(), rows.end(),
+        [](const auto& a, const auto& b) { return a.address < b.address; });
+    return rows;
+}
+
+bool target_table::contains(const std::string& instance) const
+{
+    return this->targets.count(instance) != 0;
+}
+
+target_state
+target_table::state_of(const target& candidate, base::time_ms now) const
+{
+    if (candidate.draining)
+    {
+        return target_state::draining;
+    }
+    if (candidate.listed_leaving)
+    {
+        return target_state::listed_leaving;
+    }
+    if (candidate.unreachable_until > now)
+    {
+        return target_state::unreachable;
+    }
+    if (candidate.ejected_until > now)
+    {
+        return target_state::ejected;
+    }
+    return target_state::available;
+}
+
+double target_table::cost(const target& candidate, base::time_ms now) const
+{
+    const double own = candidate.in_flight;
+    const double others = candidate.reported_in_flight;
+    const double limit = std::max(candidate.reported_limit, 1U);
+    const double load = 1 + own + others / limit;
+    const double latency = std::max(candidate.latency_ms, 1.0);
+    double share = 1;
+    if (candidate.new_comer)
+    {
+        const auto age =
+            static_cast<double>((now - candidate.first_seen).count);
+        share = std::clamp(
+            age / static_cast<double>(cold_start.count), cold_lowest_share,
+            1.0);
+    }
+    return load * latency / share;
+}
+
+bool target_table::is_saturated(
+    const target& candidate, base::time_ms now) const
+{
+    if (candidate.floor_until > now)
+    {
+        return true;
+    }
+    return candidate.reported_limit > 0 &&
+           candidate.reported_in_flight > saturation * candidate.reported_limit;
+}
+
+std::vector<target_table::target*> target_table::candidates(
+    const std::set<std::string>& excluded, base::time_ms now)
+{
+    std::vector<target*> local;
+    std::vector<target*> all;
+    bool local_room = false;
+    for (auto& [id, candidate] : this->targets)
+    {
+        const bool usable =
+            this->state_of(candidate, now) == target_state::available;
+        if (!usable || excluded.count(id) != 0)
+        {
+            continue;
+        }
+        all.push_back(&candidate);
+        if (candidate.zone == this->zone)
+        {
+            local.push_back(&candidate);
+            local_room |= !this->is_saturated(candidate, now);
+        }
+    }
+    auto& pool = local_room ? local : all;
+    this->keep_subset(pool);
+    return pool;
+}
+
+void target_table::keep_subset(std::vector<target*>& pool) const
+{
+    if (pool.size() <= subset_size)
+    {
+        return;
+    }
+    const auto score = [&](const target* item) {
+        return base::hash_parts({this->self, item->address.instance});
+    };
+    std::nth_element(
+        pool.begin(), pool.begin() + subset_size, pool.end(),
+        [&](const target* a, const target* b) { return score(a) > score(b); });
+    pool.resize(subset_size);
+}
+
+target_table::target* target_table::probe_due(
+    const std::set<std::string>& excluded, base::time_ms now)
+{
+    for (auto& [id, candidate] : this->targets)
+    {
+        const bool idle = candidate.in_flight == 0;
+        const bool due = now - candidate.last_probe >= probe_interval;
+        const bool ejected =
+            this->state_of(candidate, now) == target_state::ejected;
+        if (ejected && idle && due && excluded.count(id) == 0)
+        {
+            return &candidate;
+        }
+    }
+    return nullptr;
+}
+
+target_table::target* target_table::better_of_two(
+    std::vector<target*>& pool, std::mt19937_64& random,
+    base::time_ms now) const
+{
+    auto* first = pool[random() % pool.size()];
+    auto* second = pool[random() % pool.size()];
+    return this->cost(*first, now) <= this->cost(*second, now) ? first : second;
+}
+
+void target_table::eject_if_slow(target& candidate, base::time_ms now)
+{
+    const double median = this->median_latency(candidate);
+    const bool slow = candidate.samples >= slow_min_samples && median > 0 &&
+                      candidate.latency_ms > slow_minimum_ms &&
+                      candidate.latency_ms > slow_ratio * median;
+    const bool failing = candidate.failures >= failure_threshold;
+    if (!slow && !failing)
+    {
+        candidate.ejected_until = {INT64_MIN / 2};
+        return;
+    }
+    const bool was_ejected = candidate.ejected_until > now;
+    const auto allowed = this->targets.size() / ejected_share;
+    if (was_ejected || this->ejected_count(now) < allowed)
+    {
+        candidate.ejected_until = now + ejection_time;
+    }
+}
+
+double target_table::median_latency(const target& except) const
+{
+    std::vector<double> values;
+    for (const auto& [id, candidate] : this->targets)
+    {
+        if (&candidate != &except && candidate.samples > 0)
+        {
+            values.push_back(candidate.latency_ms);
+        }
+    }
+    if (values.empty())
+    {
+        return 0;
+    }
+    const auto middle =
+        values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+std::size_t target_table::ejected_count(base::time_ms now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->targets.begin(), this->targets.end(),
+        [&](const auto& entry) { return entry.second.ejected_until > now; }));
+}
+} // namespace bilberrytally::decisions
--- /dev/null
+++ b/src/http/internal/http_server.cpp
@@ -0,0 +1,234 @@
+#include "http/http_server.hpp"
+
+#include <restinio/all.hpp>
+
+#include <algorithm>
+#include <cctype>
+
+namespace bilberrytally::http
+{
+namespace
+{
+//! Requests up to this multiple of a limit are read and refused politely.
+constexpr std::uint64_t polite_factor = 4;
+constexpr std::uint64_t polite_minimum = 64U << 10U;
+constexpr std::chrono::hours longest_handling{2};
+constexpr std::chrono::minutes longest_write{10};
+constexpr std::size_t read_buffer_bytes = 16U << 10U;
+constexpr std::size_t pipelined_requests = 2;
+constexpr std::size_t concurrent_accepts = 4;
+
+class closed_listener
+{
+public:
+    explicit closed_listener(closed_handler on_closed)
+        : on_closed(std::move(on_closed))
+    {
+    }
+
+    void state_changed(
+        const restinio::connection_state::notice_t& notice) const noexcept
+    {
+        using restinio::connection_state::closed_t;
+        if (this->on_closed && std::holds_alternative<closed_t>(notice.cause()))
+        {
+            this->on_closed(notice.connection_id());
+        }
+    }
+
+private:
+    closed_handler on_closed;
+};
+
+struct server_traits : public restinio::default_traits_t
+{
+    using request_handler_t = std::function<restinio::request_handling_status_t(
+        restinio::request_handle_t)>;
+    using connection_state_listener_t = closed_listener;
+};
+
+using restinio_server = restinio::http_server_t<server_traits>;
+
+std::string lower(std::string text)
+{
+    std::transform(
+        text.begin(), text.end(), text.begin(),
+        [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+request to_request(
+    restinio::generic_request_t<restinio::no_extra_data_factory_t::data_t>&
+        incoming)
+{
+    request result;
+    result.method = incoming.header().method().c_str();
+    result.target = incoming.header().request_target();
+    incoming.header().for_each_field(
+        [&](const auto& field) {
+            result.headers.push_back({lower(field.name()), field.value()});
+        });
+    result.body = std::move(incoming.body());
+    return result;
+}
+
+std::uint64_t header_bytes(const request& incoming)
+{
+    std::uint64_t total = incoming.target.size();
+    for (const auto& header : incoming.headers)
+    {
+        total += header.name.size() + header.value.size() + 4;
+    }
+    return total;
+}
+
+void send_response(const restinio::request_handle_t& incoming, response answer)
+{
+    const restinio::http_status_code_t code{
+        static_cast<std::uint16_t>(answer.status)};
+    auto builder =
+        incoming->create_response(restinio::http_status_line_t{code, "-"});
+    for (auto& header : answer.headers)
+    {
+        builder.append_header(std::move(header.name), std::move(header.value));
+    }
+    if (answer.close)
+    {
+        builder.connection_close();
+    }
+    builder.set_body(std::move(answer.body));
+    builder.done();
+}
+
+response refuse_size(std::uint32_t status, const char* title)
+{
+    response answer;
+    answer.status = status;
+    answer.headers = {
+        {"Content-Type", "application/problem+json"},
+        {"Bilberrytally-Verdict", "not_run"}};
+    answer.body = std::string("{\"type\":\"about:blank\",\"title\":\"") +
+                  title + "\",\"status\":" + std::to_string(status) +
+                  ",\"verdict\":\"not_run\"}";
+    answer.close = true;
+    return answer;
+}
+
+std::uint64_t polite(std::uint64_t limit)
+{
+    return std::max(limit * polite_factor, polite_minimum);
+}
+
+class restinio_http_server : public http_server
+{
+public:
+    restinio_http_server(
+        asio::io_context& context, const server_settings& limits,
+        request_handler on_request, closed_handler on_closed)
+        : server(
+              restinio::external_io_context(context),
+              [&](auto& settings)
+              {
+                  this->configure(
+                      settings, limits, std::move(on_request),
+                      std::move(on_closed));
+              })
+    {
+    }
+
+    base::result<void> start(const std::string& place)
+    {
+        try
+        {
+            this->server.open_sync();
+            return {};
+        }
+        catch (const std::exception& failure)
+        {
+            return base::fail(place, failure.what());
+        }
+    }
+
+    void close() override
+    {
+        this->server.close_sync();
+    }
+
+private:
+    template <class Settings>
+    static void configure(
+        Settings& settings, const server_settings& limits,
+        request_handler on_request, closed_handler on_closed)
+    {
+        const std::chrono::milliseconds read_limit(limits.read_timeout.count);
+        const auto field_limit =
+            static_cast<std::size_t>(polite(limits.max_header_bytes));
+        settings.address(limits.address)
+            .port(static_cast<std::uint16_t>(limits.port))
+            .buffer_size(read_buffer_bytes)
+            .max_pipelined_requests(pipelined_requests)
+            .concurrent_accepts_count(concurrent_accepts)
+            .read_next_http_message_timelimit(read_limit)
+            .handle_request_timeout(longest_handling)
+            .write_http_response_timelimit(longest_write)
+            .connection_state_listener(
+                std::make_shared<closed_listener>(std::move(on_closed)))
+            .acceptor_options_setter(
+                [](auto& options) {
+                    options.set_option(
+                        asio::ip::tcp::acceptor::reuse_address(true));
+                })
+            .socket_options_setter(
+                [](auto& options)
+                { options.set_option(asio::ip::tcp::no_delay(true)); })
+            .incoming_http_msg_limits(
+                restinio::incoming_http_msg_limits_t{}
+                    .max_url_size(field_limit)
+                    .max_field_name_size(field_limit)
+                    .max_field_value_size(field_limit)
+                    .max_body_size(polite(limits.max_body_bytes)))
+            .request_handler(
+                [limits, on_request](const restinio::request_handle_t& incoming)
+                {
+                    handle(limits, on_request, incoming);
+                    return restinio::request_accepted();
+                });
+    }
+
+    static void handle(
+        const server_settings& limits, const request_handler& on_request,
+        const restinio::request_handle_t& incoming)
+    {
+        auto received = to_request(*incoming);
+        if (header_bytes(received) > limits.max_header_bytes)
+        {
+            send_response(
+                incoming, refuse_size(431, "request headers too large"));
+            return;
+        }
+        if (received.body.size() > limits.max_body_bytes)
+        {
+            send_response(incoming, refuse_size(413, "request body too large"));
+            return;
+        }
+        on_request(
+            incoming->connection_id(), std::move(received),
+            [incoming](response answer)
+            { send_response(incoming, std::move(answer)); });
+    }
+
+    restinio_server server;
+};
+} // namespace
+
+base::result<std::unique_ptr<http_server>> http_server::open(
+    asio::io_context& context, const server_settings& settings,
+    request_handler on_request, closed_handler on_closed)
+{
+    auto server = std::make_unique<restinio_http_server>(
+        context, settings, std::move(on_request), std::move(on_closed));
+    const auto place = settings.address + ":" + std::to_string(settings.port);
+    BOOST_LEAF_CHECK(server->start(place));
+    return std::unique_ptr<http_server>(std::move(server));
+}
+} // namespace bilberrytally::http
--- /dev/null
+++ b/src/http/internal/http_types.cpp
@@ -0,0 +1,38 @@
+#include "http/http_types.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace bilberrytally::http
+{
+namespace
+{
+constexpr std::array<std::string_view, 11> connection_headers{
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect"};
+} // namespace
+
+std::string_view find_header(const header_list& headers, std::string_view name)
+{
+    const auto found = std::find_if(
+        headers.begin(), headers.end(),
+        [&](const auto& header) { return header.name == name; });
+    return found == headers.end() ? std::string_view{} : found->value;
+}
+
+bool is_hop_by_hop(std::string_view name)
+{
+    return std::find(
+               connection_headers.begin(), connection_headers.end(), name) !=
+           connection_headers.end();
+}
+} // namespace bilberrytally::http
--- /dev/null
+++ b/src/node/internal/backend_monitor.cpp
@@ -0,0 +1,142 @@
+#include "node/internal/backend_monitor.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+
+#include <memory>
+
+namespace bilberrytally::node
+{
+namespace
+{
+constexpr std::chrono::milliseconds probe_timeout{300};
+constexpr base::duration_ms probe_interval{50};
+constexpr std::uint32_t first_error_status = 400;
+
+//! One connection attempt with a bound on its time.
+struct connect_probe : std::enable_shared_from_this<connect_probe>
+{
+    connect_probe(asio::io_context& context, std::function<void(bool)> done)
+        : strand(asio::make_strand(context)), socket(this->strand),
+          timer(this->strand), done(std::move(done))
+    {
+    }
+
+    void start(const asio::ip::tcp::endpoint& endpoint)
+    {
+        auto self = this->shared_from_this();
+        this->timer.expires_after(probe_timeout);
+        this->timer.async_wait(
+            [self](std::error_code error)
+            {
+                if (!error)
+                {
+                    std::error_code ignored;
+                    self->socket.close(ignored);
+                }
+            });
+        this->socket.async_connect(
+            endpoint,
+            [self](std::error_code error)
+            {
+                self->timer.cancel();
+                //! A slow connect says that it lives; only a refusal is
+                //! certain.
+                self->done(error == asio::error::connection_refused);
+            });
+    }
+
+    asio::strand<asio::io_context::executor_type> strand;
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    std::function<void(bool)> done;
+};
+} // namespace
+
+backend_monitor::backend_monitor(node_tables& tables, http::http_client& client)
+    : tables(tables), client(client)
+{
+}
+
+bool backend_monitor::is_up() const
+{
+    return this->up;
+}
+
+bool backend_monitor::is_draining() const
+{
+    return !this->ready;
+}
+
+void backend_monitor::probe(std::function<void(bool refused)> done)
+{
+    const auto& backend = this->tables.settings.backend;
+    std::error_code error;
+    const auto ip = asio::ip::make_address(backend.host, error);
+    const asio::ip::tcp::endpoint endpoint(
+        ip, static_cast<std::uint16_t>(backend.port));
+    std::make_shared<connect_probe>(this->tables.context, std::move(done))
+        ->start(endpoint);
+}
+
+void backend_monitor::on_refused()
+{
+    if (this->up.exchange(false))
+    {
+        this->tables.note({0, "backend_down", 0, 0, "", ""});
+    }
+}
+
+void backend_monitor::tick(base::time_ms now)
+{
+    if (!this->up && now >= this->next_probe && !this->probing.exchange(true))
+    {
+        this->next_probe = now + probe_interval;
+        this->probe(
+            [this](bool refused)
+            {
+                this->probing = false;
+                if (!refused && !this->up.exchange(true))
+                {
+                    this->tables.note({0, "backend_up", 0, 0, "", ""});
+                }
+            });
+    }
+    const auto& backend = this->tables.settings.backend;
+    if (!backend.health_path.empty() && now >= this->next_poll &&
+        !this->polling.exchange(true))
+    {
+        this->next_poll = now + base::duration_ms{backend.health_interval_ms};
+        this->poll_health();
+    }
+}
+
+void backend_monitor::poll_health()
+{
+    const auto& backend = this->tables.settings.backend;
+    http::transfer_request request;
+    request.content.method = "GET";
+    request.content.target = backend.health_path;
+    request.host = backend.host;
+    request.port = backend.port;
+    request.timeout = {backend.health_interval_ms};
+    this->client.start(
+        std::move(request),
+        [this](const http::transfer_result& result)
+        {
+            this->polling = false;
+            const bool answered =
+                result.outcome == http::transfer_outcome::answered;
+            const bool says_ready =
+                answered && result.answer.status < first_error_status;
+            //! Only an explicit answer counts; silence may be load.
+            if (answered && this->ready.exchange(says_ready) != says_ready)
+            {
+                this->tables.note(
+                    {0, says_ready ? "backend_ready" : "backend_draining", 0, 0,
+                     "", ""});
+            }
+        });
+}
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/internal/backend_monitor.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "http/http_client.hpp"
+#include "node/internal/node_tables.hpp"
+
+#include <atomic>
+#include <functional>
+
+namespace bilberrytally::node
+{
+//! Watches whether the own backend server accepts connections and, where a
+//! health path is set, whether it says that it is ready.
+class backend_monitor
+{
+public:
+    backend_monitor(node_tables& tables, http::http_client& client);
+
+    //! True if calls may be dispatched.
+    bool is_up() const;
+
+    //! The backend server says that it is leaving or not ready.
+    bool is_draining() const;
+
+    //! Connects once; \p done learns whether the connection was refused.
+    void probe(std::function<void(bool refused)> done);
+
+    //! A dispatch found the backend server not listening.
+    void on_refused();
+
+    void tick(base::time_ms now);
+
+private:
+    void poll_health();
+
+    node_tables& tables;
+    http::http_client& client;
+    std::atomic<bool> up{true};
+    std::atomic<bool> ready{true};
+    std::atomic<bool> probing{false};
+    std::atomic<bool> polling{false};
+    base::time_ms next_poll;
+    base::time_ms next_probe;
+};
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/internal/caller_side.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "base/guarded.hpp"
+#include "http/http_server.hpp"
+#include "node/internal/node_tables.hpp"
+#include "node/internal/origin_call.hpp"
+#include "node/internal/target_side.hpp"
+#include "transport/peer_network.hpp"
+
+#include <set>
+
+namespace bilberrytally::node
+{
+//! Requests of callers: context, keys, choice of target, retries, answers.
+class caller_side
+{
+public:
+    caller_side(node_tables& tables, target_side& targets);
+
+    void attach(transport::peer_network& network);
+
+    //! A request of a caller or of the own backend server.
+    void on_request(
+        std::uint64_t connection, http::request request, http::respond respond);
+    void on_connection_closed(std::uint64_t connection);
+
+    //! A call whose key has its home here.
+    void on_home_call(
+        transport::link_id link, schema::call call, base::duration_ms delay);
+    void on_home_cancel(transport::link_id link, std::uint64_t remote_call);
+
+    void on_answer(transport::link_id link, schema::answer answer);
+    void
+    on_link_down(transport::link_id link, const transport::link_loss& loss);
+
+    //! The call that caused these has ended.
+    void cancel_children(std::uint64_t serving);
+
+    //! Ends calls whose deadline has passed.
+    void tick(base::time_ms now);
+
+    //! Connections on which an answer is awaited.
+    std::set<transport::link_id> awaiting_links();
+    std::size_t calls();
+
+private:
+    //! How an attempt ended.
+    struct attempt_end
+    {
+        schema::answer answer;
+        bool answered{false};
+    };
+
+    void issue_key(const http::respond& respond);
+    std::string next_key();
+    origin_call make_call(
+        std::uint64_t connection, const http::request& request,
+        const schema::service_policy& policy,
+        const schema::route_policy& route);
+    void apply_context(
+        origin_call& fresh, const http::request& request,
+        const schema::service_policy& policy,
+        const schema::route_policy& route);
+    answer_handler
+    make_http_reply(const origin_call& call, http::respond respond);
+    bool resend_allowed(const origin_call& call);
+    void route_by_key(origin_call fresh);
+    void send_home(origin_call fresh, const decisions::target_address& home);
+    void run_at_home(origin_call fresh, std::uint64_t sequence, bool issued);
+    void begin(origin_call fresh);
+
+    void dispatch(std::uint64_t id);
+    std::optional<decisions::target_address>
+    choose_target(const origin_call& call, schema::refusal& reason);
+    void refuse_dispatch(std::uint64_t id, schema::refusal reason);
+    void dispatch_local(std::uint64_t id, std::uint64_t attempt);
+    void dispatch_remote(
+        std::uint64_t id, std::uint64_t attempt,
+        const decisions::target_address& target);
+
+    void on_attempt_end(std::uint64_t attempt, attempt_end end);
+    void report_result(const origin_call& call, const attempt_end& end);
+    bool may_retry(origin_call& call, const schema::answer& answer);
+    void prepare_retry(origin_call& call, const schema::answer& answer);
+    void complete(std::uint64_t id, schema::answer answer);
+    void complete_key(const origin_call& call, const schema::answer& answer);
+    void cancel(std::uint64_t id);
+    void stop_attempt(const origin_call& call);
+
+    node_tables& tables;
+    target_side& targets;
+    transport::peer_network* network{nullptr};
+    base::guarded<origin_table, calls_rank> origins;
+};
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/internal/http_mapping.cpp
@@ -0,0 +1,188 @@
+#include "node/internal/http_mapping.hpp"
+
+#include "base/hash.hpp"
+#include "base/verdict.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace bilberrytally::node
+{
+namespace
+{
+constexpr std::uint32_t unavailable = 503;
+constexpr std::int64_t ms_per_s = 1000;
+
+bool is_own_header(std::string_view name)
+{
+    return name == timeout_header || name == trace_parent_header ||
+           name == trace_state_header || name == "host";
+}
+
+http::response problem_response(
+    std::uint32_t status, std::string_view title, std::string_view detail,
+    std::string_view verdict, std::string_view reason)
+{
+    const nlohmann::json body{{"type", "about:blank"}, {"title", title},
+                              {"status", status},      {"detail", detail},
+                              {"verdict", verdict},    {"reason", reason}};
+    http::response response;
+    response.status = status;
+    response.headers = {
+        {"Content-Type", "application/problem+json"},
+        {std::string(verdict_header), std::string(verdict)}};
+    response.body = body.dump();
+    return response;
+}
+} // namespace
+
+std::string service_of(const http::request& request)
+{
+    const auto host = http::find_header(request.headers, "host");
+    return std::string(host.substr(0, host.rfind(':')));
+}
+
+schema::route_policy
+find_route(const schema::service_policy& policy, const http::request& request)
+{
+    schema::route_policy best;
+    best.key_required = false;
+    std::size_t longest = 0;
+    for (const auto& route : policy.routes)
+    {
+        const bool method =
+            route.method == "*" || route.method == request.method;
+        const bool path = request.target.starts_with(route.path_prefix);
+        if (method && path && route.path_prefix.size() > longest)
+        {
+            longest = route.path_prefix.size();
+            best = route;
+        }
+    }
+    return best;
+}
+
+std::optional<std::uint64_t>
+number_header(const http::header_list& headers, std::string_view name)
+{
+    const auto text = http::find_header(headers, name);
+    std::uint64_t number = 0;
+    const auto* end = text.data() + text.size();
+    const auto [last, status] = std::from_chars(text.data(), end, number);
+    const bool whole = status == std::errc{} && last == end && !text.empty();
+    return whole ? std::optional(number) : std::nullopt;
+}
+
+std::optional<std::uint64_t> call_of_trace(const http::header_list& headers)
+{
+    const auto state = http::find_header(headers, trace_state_header);
+    const auto at = state.find(trace_member);
+    if (at == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    constexpr std::size_t digits = 16;
+    constexpr int hexadecimal = 16;
+    const auto text = state.substr(at + trace_member.size(), digits);
+    std::uint64_t id = 0;
+    const auto* end = text.data() + text.size();
+    const auto [last, status] =
+        std::from_chars(text.data(), end, id, hexadecimal);
+    const bool whole = status == std::errc{} && last == end;
+    return whole ? std::optional(id) : std::nullopt;
+}
+
+std::string trace_state_for(std::uint64_t call, std::string_view present)
+{
+    std::string state(trace_member);
+    state += base::to_hex(call);
+    while (!present.empty())
+    {
+        const auto comma = present.find(',');
+        const auto member = present.substr(0, comma);
+        present = comma == std::string_view::npos ? std::string_view{}
+                                                  : present.substr(comma + 1);
+        if (member.find(trace_member) == std::string_view::npos)
+        {
+            state += ',';
+            state += member;
+        }
+    }
+    return state;
+}
+
+http::header_list end_to_end_headers(const http::header_list& headers)
+{
+    http::header_list kept;
+    for (const auto& header : headers)
+    {
+        if (!http::is_hop_by_hop(header.name) && !is_own_header(header.name))
+        {
+            kept.push_back(header);
+        }
+    }
+    return kept;
+}
+
+std::uint32_t status_of(const schema::answer& answer)
+{
+    using schema::refusal;
+    switch (answer.reason)
+    {
+    case refusal::deadline:
+    case refusal::timeout:
+        return 504;
+    case refusal::connection_lost:
+    case refusal::protocol:
+        return 502;
+    case refusal::duplicate:
+    case refusal::key_home_gone:
+        return 409;
+    case refusal::key_unknown:
+        return answer.verdict ==
+                       static_cast<std::uint32_t>(base::verdict::not_run)
+                   ? 400
+                   : 409;
+    case refusal::key_mismatch:
+        return 422;
+    default:
+        return unavailable;
+    }
+}
+
+http::response
+to_response(const schema::answer& answer, base::duration_ms retry_after)
+{
+    const auto verdict = static_cast<base::verdict>(answer.verdict);
+    if (verdict == base::verdict::ran)
+    {
+        http::response response;
+        response.status = answer.status;
+        response.body = answer.body;
+        response.headers = end_to_end_headers(answer.headers);
+        response.headers.push_back(
+            {std::string(verdict_header),
+             std::string(base::to_string(verdict))});
+        return response;
+    }
+    const auto reason = schema::to_string(answer.reason);
+    auto response = problem_response(
+        status_of(answer),
+        verdict == base::verdict::not_run ? "request was not run"
+                                          : "request may have run",
+        reason, base::to_string(verdict), reason);
+    if (response.status == unavailable)
+    {
+        const auto seconds = (retry_after.count + ms_per_s - 1) / ms_per_s;
+        response.headers.push_back({"Retry-After", std::to_string(seconds)});
+    }
+    return response;
+}
+
+http::response
+problem(std::uint32_t status, std::string_view title, std::string_view detail)
+{
+    return problem_response(status, title, detail, "not_run", "none");
+}
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/internal/metrics.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/verdict.hpp"
+#include "schema/messages.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bilberrytally::node
+{
+//! Metrics of a node, named after the Prometheus conventions.
+class metrics
+{
+public:
+    metrics();
+
+    //! A request of a caller ended.
+    void on_request(
+        const std::string& service, base::verdict verdict,
+        schema::refusal reason, std::uint32_t priority, double seconds);
+
+    //! Something worth counting by kind: retry, late_answer, strike, ...
+    void on_event(const std::string& kind, double count = 1);
+
+    //! A call ended at the own backend server.
+    void on_backend_call(double wait_seconds, double service_seconds);
+
+    void set_gauge(const std::string& name, double value);
+
+    //! Text exposition format.
+    std::string expose() const;
+
+private:
+    std::shared_ptr<prometheus::Registry> registry;
+    prometheus::Family<prometheus::Counter>& requests;
+    prometheus::Family<prometheus::Counter>& events;
+    prometheus::Family<prometheus::Gauge>& gauges;
+    prometheus::Histogram& request_seconds;
+    prometheus::Histogram& queue_seconds;
+    prometheus::Histogram& service_seconds;
+};
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/internal/node.cpp
@@ -0,0 +1,448 @@
+#include "node/node.hpp"
+
+#include "base/hash.hpp"
+#include "node/internal/admin_api.hpp"
+#include "node/internal/caller_side.hpp"
+#include "node/internal/spreader.hpp"
+#include "node/internal/target_side.hpp"
+#include "transport/message_codec.hpp"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <glog/logging.h>
+
+#include <condition_variable>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+namespace bilberrytally::node
+{
+namespace
+{
+constexpr std::chrono::milliseconds tick_interval{10};
+constexpr int exit_cut = 3;
+constexpr std::uint64_t admin_max_body = 1U << 20U;
+constexpr std::uint64_t admin_max_header = 16U << 10U;
+constexpr base::duration_ms admin_read_timeout{15000};
+
+class running_node : public node
+{
+public:
+    explicit running_node(const schema::node_settings& settings)
+        : work(asio::make_work_guard(this->context)),
+          tables(this->context, settings, base::random_bits()),
+          targets(this->tables, make_client(this->context, settings)),
+          callers(this->tables, this->targets), signals(this->context),
+          timer(this->context)
+    {
+    }
+
+    ~running_node() override
+    {
+        this->work.reset();
+        this->context.stop();
+        for (auto& worker : this->workers)
+        {
+            worker.join();
+        }
+    }
+
+    running_node(const running_node&) = delete;
+    running_node& operator=(const running_node&) = delete;
+
+    base::result<void> open()
+    {
+        const auto& settings = this->tables.settings;
+        this->start_workers();
+        BOOST_LEAF_CHECK(this->open_network());
+        BOOST_LEAF_CHECK(this->open_documents());
+        BOOST_LEAF_CHECK(this->open_admin());
+        const http::server_settings server{
+            settings.node.address,
+            settings.node.caller_port,
+            settings.caller.max_body_bytes,
+            settings.caller.max_header_bytes,
+            {settings.caller.read_timeout_ms}};
+        BOOST_LEAF_ASSIGN(
+            this->caller_server,
+            http::http_server::open(
+                this->context, server,
+                [this](
+                    std::uint64_t connection, http::request request,
+                    http::respond respond)
+                {
+                    this->callers.on_request(
+                        connection, std::move(request), std::move(respond));
+                },
+                [this](std::uint64_t connection)
+                { this->callers.on_connection_closed(connection); }));
+        this->wait_for_signal();
+        this->tick();
+        return {};
+    }
+
+    int run() override
+    {
+        std::unique_lock lock(this->stop_mutex);
+        this->stop_changed.wait(lock, [this] { return this->stopped; });
+        return this->exit_code;
+    }
+
+private:
+    static std::unique_ptr<http::http_client> make_client(
+        asio::io_context& context, const schema::node_settings& settings)
+    {
+        http::client_limits limits;
+        limits.max_answer_bytes = settings.caller.max_answer_bytes;
+        limits.max_held_bytes = settings.caller.max_held_bytes;
+        return http::http_client::make(context, limits);
+    }
+
+    void start_workers()
+    {
+        for (std::uint32_t i = 0; i < this->tables.settings.node.workers; ++i)
+        {
+            this->workers.emplace_back([this] { this->context.run(); });
+        }
+    }
+
+    base::result<void> open_network()
+    {
+        const auto& own = this->tables.settings.node;
+        schema::hello hello;
+        hello.instance = own.instance;
+        hello.incarnation = this->tables.incarnation;
+        transport::network_events events;
+        events.links.on_up = [this](auto, const auto& peer)
+        { this->on_link_up(peer); };
+        events.links.on_frame = [this](auto link, auto frame)
+        { this->on_frame(link, std::move(frame)); };
+        events.links.on_down = [this](auto link, const auto& loss)
+        {
+            this->callers.on_link_down(link, loss);
+            this->targets.on_link_down(link);
+        };
+        events.links.on_rejected = [this](auto problem)
+        {
+            this->tables.note(
+                {0, "frame_rejected", 0, 0, "",
+                 std::string("reason=") + transport::to_string(problem)});
+        };
+        events.links.logical_time = [this]
+        { return this->tables.events.tick(); };
+        events.on_datagram = [this](const auto& frame)
+        { this->on_datagram(frame); };
+        BOOST_LEAF_ASSIGN(
+            this->network, transport::peer_network::open(
+                               this->context, {own.address, own.node_port},
+                               own.key, hello, std::move(events)));
+        this->callers.attach(*this->network);
+        this->targets.attach(
+            *this->network, [this](std::uint64_t serving)
+            { this->callers.cancel_children(serving); });
+        return {};
+    }
+
+    base::result<void> open_documents()
+    {
+        const auto& platform = this->tables.settings.platform;
+        std::unique_ptr<platform::platform_client> client;
+        if (!platform.url.empty())
+        {
+            BOOST_LEAF_ASSIGN(
+                client,
+                platform::platform_client::make(
+                    this->context, platform.url, {platform.timeout_ms}));
+        }
+        this->documents = std::make_unique<spreader>(
+            this->tables, std::move(client),
+            [this](const schema::service_policy& policy)
+            { this->targets.on_policy(policy); });
+        this->documents->attach(*this->network);
+        return {};
+    }
+
+    base::result<void> open_admin()
+    {
+        const auto& admin = this->tables.settings.admin;
+        this->api = std::make_unique<admin_api>(
+            this->tables, this->callers, this->targets, *this->documents,
+            *this->network,
+            [this](bool draining) { this->set_draining(draining); });
+        const http::server_settings server{
+            admin.address, admin.port, admin_max_body, admin_max_header,
+            admin_read_timeout};
+        BOOST_LEAF_ASSIGN(
+            this->admin_server,
+            http::http_server::open(
+                this->context, server,
+                [this](auto, const auto& request, const auto& respond)
+                { this->api->on_request(request, respond); },
+                nullptr));
+        return {};
+    }
+
+    void on_link_up(const schema::hello& peer)
+    {
+        this->tables.routing.with(
+            [&](routing_table& table)
+            {
+                for (auto& [service, targets] : table.services)
+                {
+                    targets.on_reachable(peer.instance);
+                    if (targets.contains(peer.instance))
+                    {
+                        targets.on_draining(peer.instance, peer.draining);
+                    }
+                }
+            });
+        this->tables.note({0, "link_up", 0, 0, peer.instance, ""});
+    }
+
+    template <class Message, class Function>
+    void decoded(const transport::frame& frame, Function&& function)
+    {
+        auto message = transport::decode<Message>(frame.body);
+        if (!message)
+        {
+            this->tables.note(
+                {0, "frame_rejected", 0, 0, "", "reason=malformed"});
+            return;
+        }
+        function(std::move(*message));
+    }
+
+    void on_frame(transport::link_id link, transport::frame frame)
+    {
+        using transport::frame_kind;
+        this->tables.events.observe(frame.logical_time);
+        switch (frame.kind)
+        {
+        case frame_kind::call:
+            this->decoded<schema::call>(
+                frame, [&](schema::call call)
+                { this->on_call(link, std::move(call), frame.delay); });
+            return;
+        case frame_kind::answer:
+            this->decoded<schema::answer>(
+                frame, [&](schema::answer answer)
+                { this->callers.on_answer(link, std::move(answer)); });
+            return;
+        case frame_kind::cancel:
+            this->decoded<schema::cancel>(
+                frame,
+                [&](const auto& cancel)
+                {
+                    this->targets.on_cancel(link, cancel.id);
+                    this->callers.on_home_cancel(link, cancel.id);
+                });
+            return;
+        case frame_kind::strike:
+            this->decoded<schema::strike>(
+                frame,
+                [&](const auto& strike) { this->targets.on_strike(strike); });
+            return;
+        case frame_kind::notice:
+            this->decoded<schema::hello>(
+                frame, [&](const auto& peer) { this->on_link_up(peer); });
+            return;
+        default:
+            this->on_document_frame(link, frame);
+        }
+    }
+
+    void
+    on_document_frame(transport::link_id link, const transport::frame& frame)
+    {
+        using transport::frame_kind;
+        if (frame.kind == frame_kind::document)
+        {
+            this->decoded<schema::document>(
+                frame,
+                [&](const auto& document) {
+                    this->documents->on_document(
+                        document.text, document_source::tree);
+                });
+        }
+        else if (frame.kind == frame_kind::summary)
+        {
+            this->decoded<schema::summary>(
+                frame, [&](const auto& summary)
+                { this->documents->on_summary(link, summary); });
+        }
+        else if (frame.kind == frame_kind::bucket_ids)
+        {
+            this->decoded<schema::bucket_ids>(
+                frame, [&](const auto& ids)
+                { this->documents->on_bucket_ids(link, ids); });
+        }
+        else
+        {
+            this->tables.note({0, "frame_rejected", 0, 0, "", "reason=kind"});
+        }
+    }
+
+    void
+    on_call(transport::link_id link, schema::call call, base::duration_ms delay)
+    {
+        if (call.home)
+        {
+            this->callers.on_home_call(link, std::move(call), delay);
+            return;
+        }
+        this->targets.on_call(link, std::move(call), delay);
+    }
+
+    void on_datagram(const transport::frame& frame)
+    {
+        this->tables.events.observe(frame.logical_time);
+        if (frame.kind == transport::frame_kind::digest)
+        {
+            this->decoded<schema::digest>(
+                frame, [&](const auto& digest)
+                { this->documents->on_digest(digest); });
+        }
+    }
+
+    void set_draining(bool draining)
+    {
+        if (this->tables.draining.exchange(draining) == draining)
+        {
+            return;
+        }
+        const auto& own = this->tables.settings.node;
+        this->tables.note(
+            {0, draining ? "draining" : "undraining", 0, 0, own.instance, ""});
+        this->network->set_draining(draining);
+        schema::hello notice;
+        notice.instance = own.instance;
+        notice.incarnation = this->tables.incarnation;
+        notice.draining = draining;
+        this->network->send_to_all(
+            transport::frame_kind::notice, transport::encode(notice));
+    }
+
+    void wait_for_signal()
+    {
+        if (!this->signals_added)
+        {
+            this->signals_added = true;
+            this->signals.add(SIGTERM);
+            this->signals.add(SIGINT);
+        }
+        this->signals.async_wait(
+            [this](std::error_code error, int)
+            {
+                if (error)
+                {
+                    return;
+                }
+                if (this->stopping)
+                {
+                    this->cut_and_stop("second signal");
+                    return;
+                }
+                LOG(INFO) << "event=stop_requested";
+                this->stopping = true;
+                this->stop_requested = base::now();
+                this->set_draining(true);
+                this->wait_for_signal();
+            });
+    }
+
+    void tick()
+    {
+        const auto now = base::now();
+        const auto gap = this->tables.freezes.on_tick(now);
+        if (gap.count > 0)
+        {
+            this->tables.note(
+                {0, "woke", 0, 0, "", "gap_ms=" + std::to_string(gap.count)});
+        }
+        this->callers.tick(now);
+        this->targets.tick(now);
+        this->documents->tick(now);
+        this->network->check_silence(this->callers.awaiting_links());
+        if (this->stopping)
+        {
+            this->check_drained(now);
+        }
+        this->timer.expires_after(tick_interval);
+        this->timer.async_wait(
+            [this](std::error_code error)
+            {
+                if (!error)
+                {
+                    this->tick();
+                }
+            });
+    }
+
+    void check_drained(base::time_ms now)
+    {
+        const auto& own = this->tables.settings.node;
+        const auto since = now - this->stop_requested;
+        const bool idle =
+            this->callers.calls() == 0 && this->targets.calls() == 0;
+        if (idle && since >= base::duration_ms{own.drain_min_ms})
+        {
+            LOG(INFO) << "event=drained";
+            this->stop(0);
+        }
+        else if (since >= base::duration_ms{own.drain_limit_ms})
+        {
+            this->cut_and_stop("drain limit");
+        }
+    }
+
+    void cut_and_stop(const char* cause)
+    {
+        LOG(WARNING) << "event=cut cause=\"" << cause
+                     << "\" calls_as_caller=" << this->callers.calls()
+                     << " calls_as_target=" << this->targets.calls();
+        this->stop(exit_cut);
+    }
+
+    void stop(int code)
+    {
+        const std::scoped_lock lock(this->stop_mutex);
+        this->stopped = true;
+        this->exit_code = code;
+        this->stop_changed.notify_all();
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    node_tables tables;
+    target_side targets;
+    caller_side callers;
+    std::unique_ptr<spreader> documents;
+    std::unique_ptr<admin_api> api;
+    std::unique_ptr<transport::peer_network> network;
+    std::unique_ptr<http::http_server> caller_server;
+    std::unique_ptr<http::http_server> admin_server;
+    asio::signal_set signals;
+    asio::steady_timer timer;
+    bool signals_added{false};
+    std::atomic<bool> stopping{false};
+    base::time_ms stop_requested;
+    std::vector<std::thread> workers;
+    std::mutex stop_mutex;
+    std::condition_variable stop_changed;
+    bool stopped{false};
+    int exit_code{0};
+};
+} // namespace
+
+base::result<std::unique_ptr<node>>
+node::start(const schema::node_settings& settings)
+{
+    auto fresh = std::make_unique<running_node>(settings);
+    BOOST_LEAF_CHECK(fresh->open());
+    return std::unique_ptr<node>(std::move(fresh));
+}
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/internal/node_tables.cpp
@@ -0,0 +1,39 @@
+#include "node/internal/node_tables.hpp"
+
+namespace bilberrytally::node
+{
+namespace
+{
+constexpr std::size_t timeline_events = 20000;
+constexpr std::size_t max_key_records = 100000;
+constexpr base::duration_ms key_lifetime{600000};
+} // namespace
+
+node_tables::node_tables(
+    asio::io_context& context, schema::node_settings settings,
+    std::uint64_t incarnation)
+    : context(context), settings(std::move(settings)), incarnation(incarnation),
+      freezes(base::now()), events(timeline_events),
+      keys(max_key_records, key_lifetime)
+{
+    this->routing.with([&](routing_table& table)
+                       { table.random.seed(incarnation); });
+}
+
+std::optional<schema::service_policy>
+node_tables::policy(const std::string& service)
+{
+    return this->documents.with(
+        [&](auto& store) -> std::optional<schema::service_policy>
+        {
+            const auto* policy = store.policy(service);
+            return policy == nullptr ? std::nullopt : std::optional(*policy);
+        });
+}
+
+void node_tables::note(timeline::event entry)
+{
+    this->counts.on_event(entry.kind);
+    this->events.record(std::move(entry));
+}
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/internal/origin_call.cpp
@@ -0,0 +1,79 @@
+#include "node/internal/origin_call.hpp"
+
+namespace bilberrytally::node
+{
+namespace
+{
+//! An answer that says not_run may still be on its way at the deadline.
+constexpr base::duration_ms answer_grace{50};
+
+template <class Map, class Key>
+void erase_member(Map& index, const Key& key, std::uint64_t id)
+{
+    const auto found = index.find(key);
+    if (found == index.end())
+    {
+        return;
+    }
+    found->second.erase(id);
+    if (found->second.empty())
+    {
+        index.erase(found);
+    }
+}
+} // namespace
+
+void origin_table::insert(origin_call fresh)
+{
+    const auto id = fresh.id;
+    this->by_deadline.emplace(fresh.deadline + answer_grace, id);
+    if (fresh.connection != 0)
+    {
+        this->by_connection[fresh.connection].insert(id);
+    }
+    if (fresh.parent != 0)
+    {
+        this->by_parent[fresh.parent].insert(id);
+    }
+    if (fresh.home_link != 0)
+    {
+        this->by_home_call.emplace(
+            std::pair(fresh.home_link, fresh.home_call), id);
+    }
+    this->calls.emplace(id, std::move(fresh));
+}
+
+std::optional<origin_call> origin_table::extract(std::uint64_t id)
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end())
+    {
+        return std::nullopt;
+    }
+    this->end_attempt(found->second);
+    auto call = std::move(found->second);
+    this->calls.erase(found);
+    auto [first, last] =
+        this->by_deadline.equal_range(call.deadline + answer_grace);
+    while (first != last && first->second != id)
+    {
+        ++first;
+    }
+    if (first != last)
+    {
+        this->by_deadline.erase(first);
+    }
+    erase_member(this->by_connection, call.connection, id);
+    erase_member(this->by_parent, call.parent, id);
+    this->by_home_call.erase({call.home_link, call.home_call});
+    return call;
+}
+
+void origin_table::end_attempt(origin_call& call)
+{
+    this->attempts.erase(call.attempt);
+    erase_member(this->by_link, call.link, call.attempt);
+    call.attempt = 0;
+    call.local_serving = 0;
+}
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/internal/origin_call.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "base/time.hpp"
+#include "decisions/key_records.hpp"
+#include "decisions/retry_budget.hpp"
+#include "decisions/target_table.hpp"
+#include "node/internal/target_side.hpp"
+#include "schema/messages.hpp"
+#include "transport/peer_network.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bilberrytally::node
+{
+//! Where a call is sent next.
+enum class route_kind
+{
+    balanced, //!< Any target of the service.
+    home,     //!< The home of the idempotency key.
+    pinned,   //!< The one target that may run a struck request.
+};
+
+//! A request for which this node is the caller's node.
+struct origin_call
+{
+    std::uint64_t id{0};
+    schema::call call;
+    answer_handler reply;
+    base::time_ms started;
+    base::time_ms deadline;
+    decisions::retry_budget budget{0};
+    //! Caller's connection; 0 for none.
+    std::uint64_t connection{0};
+    //! Call being served here that caused this one; 0 for none.
+    std::uint64_t parent{0};
+    //! Connection and call id if another node sent this call to its key's
+    //! home.
+    transport::link_id home_link{0};
+    std::uint64_t home_call{0};
+    //! Set where this node is the home of the call's key.
+    std::optional<decisions::keyed_send> keyed;
+    route_kind route{route_kind::balanced};
+    decisions::target_address fixed_target;
+    std::set<std::string> tried;
+
+    //! The dispatch in progress; 0 for none.
+    std::uint64_t attempt{0};
+    std::string target;
+    transport::link_id link{0};
+    std::uint64_t local_serving{0};
+    std::uint32_t handed_budget{0};
+    base::time_ms dispatched;
+};
+
+//! Calls in progress as the caller's node, and who waits for which record.
+struct origin_table
+{
+    std::unordered_map<std::uint64_t, origin_call> calls;
+    //! Attempt to call.
+    std::unordered_map<std::uint64_t, std::uint64_t> attempts;
+    //! When a call without an answer is given up.
+    std::multimap<base::time_ms, std::uint64_t> by_deadline;
+    std::map<std::uint64_t, std::set<std::uint64_t>> by_connection;
+    std::map<std::uint64_t, std::set<std::uint64_t>> by_parent;
+    std::map<std::pair<transport::link_id, std::uint64_t>, std::uint64_t>
+        by_home_call;
+    std::map<transport::link_id, std::set<std::uint64_t>> by_link;
+    //! Sends that wait for the answer to an earlier send with their key.
+    std::map<std::string, std::vector<answer_handler>> joined;
+    std::uint64_t next_attempt{1};
+
+    //! Adds a call to all indexes.
+    void insert(origin_call fresh);
+    //! Removes a call from all indexes; nothing if it is not there.
+    std::optional<origin_call> extract(std::uint64_t id);
+    //! Ends the attempt of a call, keeping the call.
+    void end_attempt(origin_call& call);
+};
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/node.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "base/error.hpp"
+#include "schema/settings.hpp"
+
+#include <memory>
+
+//! The process beside each backend server instance.
+namespace bilberrytally::node
+{
+//! A running node.
+class node
+{
+public:
+    //! Opens all ports and starts the workers.
+    static base::result<std::unique_ptr<node>>
+    start(const schema::node_settings& settings);
+
+    virtual ~node() = default;
+
+    //! Serves until a planned stop has ended. The first SIGTERM or SIGINT
+    //! drains, the second cuts what still runs. Returns the exit code.
+    virtual int run() = 0;
+};
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/schema/internal/ini_fields.cpp
@@ -0,0 +1,136 @@
+#include "schema/internal/ini_fields.hpp"
+
+#include <charconv>
+#include <ini.h>
+
+namespace bilberrytally::schema::internal
+{
+namespace
+{
+using value_map = std::map<std::pair<std::string, std::string>, std::string>;
+
+int store_value(
+    void* user, const char* section, const char* key, const char* value)
+{
+    auto& values = *static_cast<value_map*>(user);
+    const bool added = values.emplace(std::pair(section, key), value).second;
+    return added ? 1 : 0;
+}
+
+std::string range_text(setting_bounds range)
+{
+    return std::to_string(range.minimum) + " to " +
+           (range.maximum == no_maximum ? "any"
+                                        : std::to_string(range.maximum));
+}
+} // namespace
+
+base::result<ini_fields> ini_fields::read(const std::string& file)
+{
+    ini_fields fields;
+    fields.file = file;
+    const int line = ini_parse(file.c_str(), store_value, &fields.values);
+    if (line < 0)
+    {
+        return base::fail(file, "cannot be read");
+    }
+    if (line > 0)
+    {
+        return base::fail(
+            file + ":" + std::to_string(line),
+            "expected [section], key = value or a comment; a key only once");
+    }
+    return fields;
+}
+
+base::result<bool> ini_fields::extract(
+    const char* section, const char* key, bool required, std::string& text)
+{
+    const auto found = this->values.find({section, key});
+    if (found != this->values.end())
+    {
+        text = found->second;
+        this->values.erase(found);
+        return true;
+    }
+    if (required)
+    {
+        return base::fail(this->place(section, key), "missing, it is required");
+    }
+    return false;
+}
+
+base::result<void> ini_fields::take(
+    const char* section, const char* key, setting_bounds range,
+    std::string& out)
+{
+    BOOST_LEAF_AUTO(found, this->extract(section, key, range.required, out));
+    if (found && (out.size() < range.minimum || out.size() > range.maximum))
+    {
+        return base::fail(
+            this->place(section, key),
+            "expected a text of length " + range_text(range));
+    }
+    return {};
+}
+
+base::result<void> ini_fields::take(
+    const char* section, const char* key, setting_bounds range,
+    std::uint32_t& out)
+{
+    std::string text;
+    BOOST_LEAF_AUTO(found, this->extract(section, key, range.required, text));
+    if (!found)
+    {
+        return {};
+    }
+    std::uint64_t number = 0;
+    const auto* end = text.data() + text.size();
+    const auto [last, status] = std::from_chars(text.data(), end, number);
+    const bool whole = status == std::errc{} && last == end;
+    if (!whole || number < range.minimum || number > range.maximum)
+    {
+        return base::fail(
+            this->place(section, key), "expected a whole number, " +
+                                           range_text(range) + ", not '" +
+                                           text + "'");
+    }
+    out = static_cast<std::uint32_t>(number);
+    return {};
+}
+
+base::result<void> ini_fields::take(
+    const char* section, const char* key, setting_bounds range, bool& out)
+{
+    std::string text;
+    BOOST_LEAF_AUTO(found, this->extract(section, key, range.required, text));
+    if (!found)
+    {
+        return {};
+    }
+    if (text != "true" && text != "false")
+    {
+        return base::fail(
+            this->place(section, key),
+            "expected true or false, not '" + text + "'");
+    }
+    out = text == "true";
+    return {};
+}
+
+base::result<void> ini_fields::check_all_taken() const
+{
+    if (this->values.empty())
+    {
+        return {};
+    }
+    const auto& [section, key] = this->values.begin()->first;
+    return base::fail(this->place(section, key), "unknown key");
+}
+
+std::string
+ini_fields::place(const std::string& section, const std::string& key) const
+{
+    return this->file + ": [" + section + "] " + key;
+}
+} // namespace bilberrytally::schema::internal
--- /dev/null
+++ b/src/transport/internal/delay_meter.cpp
@@ -0,0 +1,28 @@
+#include "transport/delay_meter.hpp"
+
+#include <algorithm>
+
+namespace bilberrytally::transport
+{
+namespace
+{
+//! Clocks drift, so old minima are forgotten.
+constexpr base::duration_ms window{60000};
+} // namespace
+
+base::duration_ms
+delay_meter::measure(std::int64_t sent_at, base::time_ms received)
+{
+    const auto difference = received.count - sent_at;
+    if (!this->started || received - this->window_start >= window)
+    {
+        this->previous_minimum = this->current_minimum;
+        this->current_minimum = difference;
+        this->window_start = received;
+        this->started = true;
+    }
+    this->current_minimum = std::min(this->current_minimum, difference);
+    const auto usual = std::min(this->current_minimum, this->previous_minimum);
+    return {difference - usual};
+}
+} // namespace bilberrytally::transport
--- /dev/null
+++ b/src/transport/internal/peer_link.cpp
@@ -0,0 +1,328 @@
+#include "transport/peer_link.hpp"
+
+#include "base/time.hpp"
+#include "transport/message_codec.hpp"
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+#include <utility>
+
+namespace bilberrytally::transport
+{
+namespace
+{
+constexpr std::size_t max_body_bytes = 80U << 20U;
+constexpr base::duration_ms ping_after{400};
+constexpr base::duration_ms lost_after{1500};
+} // namespace
+
+peer_link::peer_link(
+    asio::io_context& context, link_id id, const std::string& key,
+    schema::hello own_hello, const link_events& events)
+    : strand(asio::make_strand(context)), socket(this->strand), id(id),
+      codec(key), own_hello(std::move(own_hello)), events(events),
+      last_heard(base::now())
+{
+}
+
+void peer_link::connect(const asio::ip::tcp::endpoint& endpoint)
+{
+    this->initiator = true;
+    auto self = this->shared_from_this();
+    asio::post(
+        this->strand,
+        [self, endpoint]
+        {
+            self->socket.async_connect(
+                endpoint,
+                [self](std::error_code error)
+                {
+                    if (error || self->lost)
+                    {
+                        self->lose();
+                        return;
+                    }
+                    self->connected = true;
+                    self->socket.set_option(asio::ip::tcp::no_delay(true));
+                    self->send_hello();
+                    self->read_header();
+                });
+        });
+}
+
+void peer_link::accept(asio::ip::tcp::socket accepted)
+{
+    auto self = this->shared_from_this();
+    const auto protocol = accepted.local_endpoint().protocol();
+    const auto handle = accepted.release();
+    asio::post(
+        this->strand,
+        [self, protocol, handle]
+        {
+            self->socket.assign(protocol, handle);
+            self->connected = true;
+            self->socket.set_option(asio::ip::tcp::no_delay(true));
+            self->read_header();
+        });
+}
+
+void peer_link::send(frame_kind kind, std::string body, std::uint64_t call)
+{
+    auto self = this->shared_from_this();
+    asio::post(
+        this->strand,
+        [self, message = outgoing{kind, std::move(body), call}]() mutable
+        { self->enqueue(std::move(message)); });
+}
+
+void peer_link::close()
+{
+    auto self = this->shared_from_this();
+    asio::post(this->strand, [self] { self->lose(); });
+}
+
+void peer_link::set_cut(bool cut)
+{
+    auto self = this->shared_from_this();
+    asio::post(this->strand, [self, cut] { self->cut = cut; });
+}
+
+void peer_link::check_silence(bool awaiting_answers)
+{
+    auto self = this->shared_from_this();
+    asio::post(
+        this->strand,
+        [self, awaiting_answers]
+        {
+            const auto now = base::now();
+            const bool quiet = now - self->last_heard >= ping_after;
+            if (self->ping_pending && now - self->silent_since >= lost_after)
+            {
+                self->lose();
+            }
+            else if (awaiting_answers && quiet && !self->ping_pending)
+            {
+                self->ping_pending = true;
+                self->silent_since = now;
+                if (self->established)
+                {
+                    self->enqueue({frame_kind::ping, {}, 0});
+                }
+            }
+        });
+}
+
+void peer_link::send_hello()
+{
+    this->queue.push_front({frame_kind::hello, encode(this->own_hello), 0});
+    this->write_next();
+}
+
+void peer_link::enqueue(outgoing message)
+{
+    if (this->lost)
+    {
+        if (message.call != 0)
+        {
+            this->events.on_down(
+                this->id,
+                {this->peer_instance, this->established, {message.call}});
+        }
+        return;
+    }
+    this->queue.push_back(std::move(message));
+    this->write_next();
+}
+
+void peer_link::write_next()
+{
+    if (this->writing || this->queue.empty() || !this->connected)
+    {
+        return;
+    }
+    const bool is_hello = this->queue.front().kind == frame_kind::hello;
+    if (!this->established && !is_hello)
+    {
+        return;
+    }
+    this->in_write = std::move(this->queue.front());
+    this->queue.pop_front();
+    if (this->cut)
+    {
+        this->write_next();
+        return;
+    }
+    const frame_header header{
+        static_cast<std::uint32_t>(this->in_write.kind),
+        static_cast<std::uint32_t>(this->in_write.body.size()),
+        this->next_sent++,
+        this->peer_session,
+        base::now().count,
+        this->events.logical_time()};
+    this->write_header = this->codec.seal(header, this->in_write.body);
+    this->writing = true;
+    const std::array<asio::const_buffer, 2> buffers{
+        asio::buffer(this->write_header), asio::buffer(this->in_write.body)};
+    auto self = this->shared_from_this();
+    asio::async_write(
+        this->socket, buffers,
+        [self](std::error_code error, std::size_t)
+        {
+            self->writing = false;
+            if (error || self->lost)
+            {
+                self->lose();
+                return;
+            }
+            self->write_next();
+        });
+}
+
+void peer_link::read_header()
+{
+    auto self = this->shared_from_this();
+    asio::async_read(
+        this->socket, asio::buffer(this->read_header_bytes),
+        [self](std::error_code error, std::size_t)
+        {
+            if (error || self->lost)
+            {
+                self->lose();
+                return;
+            }
+            frame_header header;
+            const auto problem = frame_codec::parse_header(
+                self->read_header_bytes, max_body_bytes, header);
+            if (problem != frame_error::none)
+            {
+                self->reject(problem);
+                return;
+            }
+            self->read_body(header);
+        });
+}
+
+void peer_link::read_body(const frame_header& header)
+{
+    auto self = this->shared_from_this();
+    this->read_body_bytes.resize(header.length);
+    asio::async_read(
+        this->socket, asio::buffer(this->read_body_bytes),
+        [self, header](std::error_code error, std::size_t)
+        {
+            if (error || self->lost)
+            {
+                self->lose();
+                return;
+            }
+            self->on_whole_frame(header);
+        });
+}
+
+void peer_link::on_whole_frame(const frame_header& header)
+{
+    const auto problem =
+        this->codec.check(this->read_header_bytes, this->read_body_bytes);
+    if (problem != frame_error::none)
+    {
+        this->reject(problem);
+        return;
+    }
+    const auto now = base::now();
+    if (this->cut)
+    {
+        this->last_received = header.sequence;
+        this->read_header();
+        return;
+    }
+    if (!this->established)
+    {
+        this->on_hello(header);
+        return;
+    }
+    if (header.session != this->own_hello.session ||
+        header.sequence <= this->last_received)
+    {
+        this->events.on_rejected(frame_error::replayed);
+        this->read_header();
+        return;
+    }
+    this->last_received = header.sequence;
+    this->last_heard = now;
+    this->ping_pending = false;
+    this->deliver(header, this->delays.measure(header.sent_at, now));
+    this->read_header();
+}
+
+void peer_link::on_hello(const frame_header& header)
+{
+    const auto hello = decode<schema::hello>(this->read_body_bytes);
+    const bool is_hello =
+        header.kind == static_cast<std::uint32_t>(frame_kind::hello);
+    const auto session = this->initiator ? this->own_hello.session : 0;
+    if (!is_hello || !hello || header.session != session)
+    {
+        this->reject(frame_error::malformed);
+        return;
+    }
+    this->last_received = header.sequence;
+    this->peer_session = hello->session;
+    this->peer_instance = hello->instance;
+    this->delays.measure(header.sent_at, base::now());
+    if (!this->initiator)
+    {
+        this->send_hello();
+    }
+    this->established = true;
+    this->events.on_up(this->id, *hello);
+    this->write_next();
+    this->read_header();
+}
+
+void peer_link::deliver(const frame_header& header, base::duration_ms delay)
+{
+    const auto kind = static_cast<frame_kind>(header.kind);
+    if (kind == frame_kind::ping)
+    {
+        this->enqueue({frame_kind::pong, {}, 0});
+        return;
+    }
+    if (kind == frame_kind::pong)
+    {
+        return;
+    }
+    this->events.on_frame(
+        this->id, {kind, std::exchange(this->read_body_bytes, {}), delay,
+                   header.logical_time});
+}
+
+void peer_link::reject(frame_error error)
+{
+    this->events.on_rejected(error);
+    this->lose();
+}
+
+void peer_link::lose()
+{
+    if (this->lost)
+    {
+        return;
+    }
+    this->lost = true;
+    std::error_code ignored;
+    this->socket.close(ignored);
+    link_loss loss{this->peer_instance, this->established, {}};
+    for (const auto& message : this->queue)
+    {
+        if (message.call != 0)
+        {
+            loss.unsent_calls.push_back(message.call);
+        }
+    }
+    this->queue.clear();
+    this->events.on_down(this->id, loss);
+}
+} // namespace bilberrytally::transport
--- /dev/null
+++ b/src/transport/internal/peer_network.cpp
@@ -0,0 +1,379 @@
+#include "transport/peer_network.hpp"
+
+#include "base/hash.hpp"
+
+#include <asio/ip/address.hpp>
+#include <asio/post.hpp>
+
+#include <utility>
+
+namespace bilberrytally::transport
+{
+namespace
+{
+constexpr std::size_t max_datagram = 1400;
+
+template <class Protocol>
+typename Protocol::endpoint
+endpoint_of(const peer_address& address, std::error_code& error)
+{
+    const auto ip = asio::ip::make_address(address.host, error);
+    return {ip, static_cast<std::uint16_t>(address.port)};
+}
+} // namespace
+
+peer_network::peer_network(
+    asio::io_context& context, std::string key, const schema::hello& own_hello,
+    network_events events)
+    : context(context), key(std::move(key)), events(std::move(events)),
+      acceptor(context), datagram_strand(asio::make_strand(context)),
+      datagrams(this->datagram_strand), datagram_buffer(max_datagram, '\0'),
+      datagram_codec(this->key)
+{
+    this->table.with([&](auto& table) { table.own_hello = own_hello; });
+    this->wrapped = this->events.links;
+    this->wrapped.on_up = [this](link_id id, const schema::hello& hello)
+    {
+        this->table.with(
+            [&](auto& table)
+            {
+                const auto found = table.by_id.find(id);
+                if (found != table.by_id.end())
+                {
+                    found->second.up = true;
+                }
+            });
+        this->events.links.on_up(id, hello);
+    };
+    this->wrapped.on_down = [this](link_id id, const link_loss& loss)
+    {
+        this->table.with(
+            [&](auto& table)
+            {
+                const auto found = table.by_id.find(id);
+                if (found == table.by_id.end())
+                {
+                    return;
+                }
+                const auto known = table.by_address.find(found->second.address);
+                if (known != table.by_address.end() && known->second == id)
+                {
+                    table.by_address.erase(known);
+                }
+                table.by_id.erase(found);
+            });
+        this->events.links.on_down(id, loss);
+    };
+}
+
+base::result<std::unique_ptr<peer_network>> peer_network::open(
+    asio::io_context& context, const peer_address& own, const std::string& key,
+    const schema::hello& own_hello, network_events events)
+{
+    std::unique_ptr<peer_network> network(
+        new peer_network(context, key, own_hello, std::move(events)));
+    BOOST_LEAF_CHECK(network->listen(own));
+    network->accept_next();
+    network->receive_next();
+    return network;
+}
+
+base::result<void> peer_network::listen(const peer_address& own)
+{
+    std::error_code error;
+    const auto place = own.host + ":" + std::to_string(own.port);
+    const auto tcp = endpoint_of<asio::ip::tcp>(own, error);
+    const auto udp = endpoint_of<asio::ip::udp>(own, error);
+    if (error)
+    {
+        return base::fail(place, "expected an IP address");
+    }
+    const auto attempt = [&](auto&& step)
+    {
+        if (!error)
+        {
+            step();
+        }
+    };
+    attempt([&] { this->acceptor.open(tcp.protocol(), error); });
+    attempt(
+        [&]
+        {
+            const asio::ip::tcp::acceptor::reuse_address reuse(true);
+            this->acceptor.set_option(reuse, error);
+        });
+    attempt([&] { this->acceptor.bind(tcp, error); });
+    attempt(
+        [&] {
+            this->acceptor.listen(
+                asio::socket_base::max_listen_connections, error);
+        });
+    attempt([&] { this->datagrams.open(udp.protocol(), error); });
+    attempt([&] { this->datagrams.bind(udp, error); });
+    if (error)
+    {
+        return base::fail(place, "cannot listen: " + error.message());
+    }
+    return {};
+}
+
+link_id peer_network::link_to(const peer_address& peer)
+{
+    std::shared_ptr<peer_link> fresh;
+    const auto id = this->table.with(
+        [&](auto& table)
+        {
+            const auto found = table.by_address.find(peer);
+            if (found != table.by_address.end())
+            {
+                return found->second;
+            }
+            const auto next = table.next_id++;
+            fresh = this->make_link(table, peer, next);
+            table.by_address.emplace(peer, next);
+            return next;
+        });
+    if (fresh)
+    {
+        std::error_code error;
+        const auto endpoint = endpoint_of<asio::ip::tcp>(peer, error);
+        fresh->connect(endpoint);
+    }
+    return id;
+}
+
+bool peer_network::send(
+    link_id id, frame_kind kind, std::string body, std::uint64_t call)
+{
+    const auto link = this->find(id);
+    if (!link)
+    {
+        return false;
+    }
+    if (kind != frame_kind::call && kind != frame_kind::answer)
+    {
+        this->sent_control_bytes += frame_header_bytes + body.size();
+    }
+    link->send(kind, std::move(body), call);
+    return true;
+}
+
+void peer_network::send_to_all(frame_kind kind, const std::string& body)
+{
+    std::vector<std::shared_ptr<peer_link>> links;
+    this->table.with(
+        [&](auto& table)
+        {
+            for (const auto& [id, item] : table.by_id)
+            {
+                if (item.up)
+                {
+                    links.push_back(item.link);
+                }
+            }
+        });
+    for (const auto& link : links)
+    {
+        this->sent_control_bytes += frame_header_bytes + body.size();
+        link->send(kind, body, 0);
+    }
+}
+
+void peer_network::send_datagram(
+    const peer_address& peer, frame_kind kind, const std::string& body)
+{
+    std::error_code error;
+    const auto endpoint = endpoint_of<asio::ip::udp>(peer, error);
+    const bool cut = this->table.with(
+        [&](auto& table) { return table.cut_ports.count(peer.port) != 0; });
+    if (error || cut || body.size() + frame_header_bytes > max_datagram)
+    {
+        return;
+    }
+    this->sent_control_bytes += frame_header_bytes + body.size();
+    asio::post(
+        this->datagram_strand,
+        [this, endpoint, kind, body]
+        {
+            const frame_header header{
+                static_cast<std::uint32_t>(kind),
+                static_cast<std::uint32_t>(body.size()),
+                0,
+                0,
+                base::now().count,
+                this->events.links.logical_time()};
+            const auto bytes = this->datagram_codec.seal(header, body);
+            const std::array<asio::const_buffer, 2> buffers{
+                asio::buffer(bytes), asio::buffer(body)};
+            std::error_code ignored;
+            this->datagrams.send_to(buffers, endpoint, 0, ignored);
+        });
+}
+
+void peer_network::check_silence(const std::set<link_id>& awaiting)
+{
+    std::vector<std::pair<link_id, std::shared_ptr<peer_link>>> links;
+    this->table.with(
+        [&](auto& table)
+        {
+            for (const auto& [id, item] : table.by_id)
+            {
+                links.emplace_back(id, item.link);
+            }
+        });
+    for (const auto& [id, link] : links)
+    {
+        link->check_silence(awaiting.count(id) != 0);
+    }
+}
+
+void peer_network::set_draining(bool draining)
+{
+    this->table.with([&](auto& table) { table.own_hello.draining = draining; });
+}
+
+void peer_network::set_cut(std::set<std::uint32_t> ports)
+{
+    this->table.with(
+        [&](auto& table)
+        {
+            table.cut_ports = std::move(ports);
+            for (const auto& [id, item] : table.by_id)
+            {
+                item.link->set_cut(
+                    table.cut_ports.count(item.address.port) != 0);
+            }
+        });
+}
+
+void peer_network::close()
+{
+    std::error_code ignored;
+    this->acceptor.close(ignored);
+    asio::post(
+        this->datagram_strand,
+        [this]
+        {
+            std::error_code unused;
+            this->datagrams.close(unused);
+        });
+    std::vector<std::shared_ptr<peer_link>> links;
+    this->table.with(
+        [&](auto& table)
+        {
+            for (const auto& [id, item] : table.by_id)
+            {
+                links.push_back(item.link);
+            }
+        });
+    for (const auto& link : links)
+    {
+        link->close();
+    }
+}
+
+std::uint64_t peer_network::control_bytes() const
+{
+    return this->sent_control_bytes;
+}
+
+void peer_network::accept_next()
+{
+    this->acceptor.async_accept(
+        [this](std::error_code error, asio::ip::tcp::socket accepted)
+        {
+            if (error == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                const auto link = this->table.with(
+                    [&](auto& table)
+                    { return this->make_link(table, {}, table.next_id++); });
+                link->accept(std::move(accepted));
+            }
+            this->accept_next();
+        });
+}
+
+void peer_network::receive_next()
+{
+    this->datagrams.async_receive_from(
+        asio::buffer(this->datagram_buffer), this->datagram_sender,
+        [this](std::error_code error, std::size_t length)
+        {
+            if (error == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                this->on_datagram(length);
+            }
+            this->receive_next();
+        });
+}
+
+void peer_network::on_datagram(std::size_t length)
+{
+    const auto port = this->datagram_sender.port();
+    const bool cut = this->table.with(
+        [&](auto& table) { return table.cut_ports.count(port) != 0; });
+    if (cut)
+    {
+        return;
+    }
+    header_bytes header_part{};
+    frame_header header;
+    if (length < header_part.size())
+    {
+        this->events.links.on_rejected(frame_error::garbage);
+        return;
+    }
+    std::copy_n(
+        this->datagram_buffer.begin(), header_part.size(), header_part.begin());
+    std::string body = this->datagram_buffer.substr(
+        header_part.size(), length - header_part.size());
+    auto problem = frame_codec::parse_header(header_part, max_datagram, header);
+    if (problem == frame_error::none)
+    {
+        problem = this->datagram_codec.check(header_part, body);
+    }
+    if (problem != frame_error::none)
+    {
+        this->events.links.on_rejected(problem);
+        return;
+    }
+    this->events.on_datagram(
+        {static_cast<frame_kind>(header.kind),
+         std::move(body),
+         {0},
+         header.logical_time});
+}
+
+std::shared_ptr<peer_link> peer_network::make_link(
+    link_table& table, const peer_address& address, link_id id)
+{
+    auto hello = table.own_hello;
+    hello.session = base::random_bits();
+    auto link = std::make_shared<peer_link>(
+        this->context, id, this->key, std::move(hello), this->wrapped);
+    if (table.cut_ports.count(address.port) != 0)
+    {
+        link->set_cut(true);
+    }
+    table.by_id.emplace(id, entry{link, address, false});
+    return link;
+}
+
+std::shared_ptr<peer_link> peer_network::find(link_id id)
+{
+    return this->table.with(
+        [&](auto& table)
+        {
+            const auto found = table.by_id.find(id);
+            return found == table.by_id.end() ? nullptr : found->second.link;
+        });
+}
+} // namespace bilberrytally::transport
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,84 @@
+"""Generates the C++ types of schema/schema.json from the templates beside it.
+
+Usage: generate.py [--check]   (--check fails where the committed output differs)
+"""
+import json
+import pathlib
+import subprocess
+import sys
+
+import jinja2
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SCALARS = {"u32": "std::uint32_t", "u64": "std::uint64_t", "i64": "std::int64_t",
+           "bool": "bool", "string": "std::string"}
+
+
+def cpp_type(name):
+    if name.startswith("list<"):
+        return f"std::vector<{cpp_type(name[5:-1])}>"
+    return SCALARS.get(name, name)
+
+
+def initial(field, enums):
+    kind, options = field["type"], field["options"]
+    default = options.get("default")
+    if kind == "string":
+        return json.dumps(default) if default else ""
+    if kind.startswith("list<"):
+        return ""
+    if kind == "bool":
+        return "true" if default else "false"
+    if kind in enums:
+        return f"{kind}::{default or enums[kind]['values'][0]}"
+    if kind in SCALARS:
+        return str(default or 0)
+    return ""
+
+
+def fields(rows, enums):
+    out = []
+    for row in rows:
+        field = {"name": row[0], "type": row[1], "doc": row[2],
+                 "options": row[3] if len(row) > 3 else {}}
+        field["cpp"] = cpp_type(field["type"])
+        field["initial"] = initial(field, enums)
+        out.append(field)
+    return out
+
+
+def model():
+    raw = json.loads((ROOT / "schema/schema.json").read_text())
+    enums = raw["enums"]
+    result = {"enums": enums, "scalars": SCALARS, "messages": {}, "documents": {}, "settings": {}}
+    for group in ("messages", "documents"):
+        for name, entry in raw[group].items():
+            result[group][name] = {"doc": entry["doc"], "fields": fields(entry["fields"], enums)}
+    for name, entry in raw["settings"].items():
+        sections = {s: fields(rows, enums) for s, rows in entry["sections"].items()}
+        result["settings"][name] = {"doc": entry["doc"], "sections": sections}
+    return result
+
+
+def main():
+    check = "--check" in sys.argv[1:]
+    loader = jinja2.FileSystemLoader(str(ROOT / "schema/templates"))
+    environment = jinja2.Environment(loader=loader, trim_blocks=True, lstrip_blocks=True,
+                                     undefined=jinja2.StrictUndefined)
+    stale = []
+    for template in sorted((ROOT / "schema/templates").glob("*.j2")):
+        text = environment.get_template(template.name).render(model())
+        text = subprocess.run(["clang-format", "--assume-filename=" + template.stem],
+                              input=text, capture_output=True, text=True, check=True,
+                              cwd=ROOT).stdout
+        target = ROOT / "src/schema" / template.stem
+        if check:
+            if not target.exists() or target.read_text() != text:
+                stale.append(str(target.relative_to(ROOT)))
+        else:
+            target.write_text(text)
+    if stale:
+        sys.exit("stale generated files: " + ", ".join(stale))
+
+
+main()
