Charge a re-run for the dispatches that it repeats down the graph

Cause: a retry high in the chain ran its whole subtree again as if each call below were a first one. With a chain of 4, fan-out 2 and the deepest service failing, one root request caused 45 dispatches; allowed are 15 + R = 18. Ruled out: the split of the budget over children; its sum never exceeded R.

Change: a call whose earlier attempt may have run is marked as a re-run, and each dispatch below it draws from the budget.

--- a/src/decisions/internal/retry_budget.cpp
+++ b/src/decisions/internal/retry_budget.cpp
@@ -33,13 +33,13 @@
     this->attempts += attempts;
 }
 
-bool retry_budget::spend()
+bool retry_budget::spend(std::uint32_t count)
 {
-    if (this->attempts == 0)
+    if (this->attempts < count)
     {
         return false;
     }
-    --this->attempts;
+    this->attempts -= count;
     return true;
 }
 
--- a/src/decisions/retry_budget.hpp
+++ b/src/decisions/retry_budget.hpp
@@ -24,8 +24,8 @@
     //! Takes back what an answer did not spend.
     void give_back(std::uint32_t attempts);
 
-    //! Spends one extra attempt; false where none is left.
-    bool spend();
+    //! Spends extra attempts; false, and none spent, where fewer are left.
+    bool spend(std::uint32_t count = 1);
 
     std::uint32_t left() const;
 
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -83,6 +83,11 @@
     }
     auto fresh = this->make_call(connection, request, *policy, route);
     fresh.reply = this->make_http_reply(fresh, std::move(respond));
+    if (fresh.over_budget)
+    {
+        this->refuse_over_budget(fresh);
+        return;
+    }
     if (!this->resend_allowed(fresh))
     {
         this->tables.counts.on_event("resend_held_back");
@@ -97,6 +102,14 @@
     this->route_by_key(std::move(fresh));
 }
 
+void caller_side::refuse_over_budget(const origin_call& call)
+{
+    this->tables.note(
+        {0, "budget_exhausted", call.call.root, call.id, call.call.service, ""});
+    this->targets.give_back(call.parent, call.budget.left(), 0);
+    call.reply(make_refusal(verdict::not_run, refusal::budget));
+}
+
 void caller_side::issue_key(const http::respond& respond)
 {
     http::response answer;
@@ -166,6 +179,8 @@
         call.root = context->root;
         call.depth = context->depth + 1;
         call.priority = context->priority;
+        call.rerun = context->rerun;
+        fresh.over_budget = !context->affordable;
         return;
     }
     //! A trace without a context here gets no retries: the root's budget is
@@ -436,7 +451,8 @@
             call.call.budget = call.handed_budget;
             call.call.remaining_ms = (call.deadline - now).count;
             call.link = 0;
-            table.attempts.emplace(attempt, id);
+            ++call.dispatches;
+        table.attempts.emplace(attempt, id);
         });
     if (attempt == 0)
     {
@@ -655,6 +671,7 @@
     {
         call.call.struck_by.push_back(answer.body);
     }
+    call.call.rerun |= verdict_of(answer) != verdict::not_run;
     const bool struck =
         !call.call.struck_by.empty() || answer.reason == refusal::suspected;
     this->tables.with_targets(
@@ -745,9 +762,11 @@
     }
     if (call->parent != 0)
     {
-        this->targets.give_back(call->parent, call->budget.left());
+        this->targets.give_back(
+            call->parent, call->budget.left(), call->dispatches);
     }
     answer.unspent = call->budget.left();
+    answer.descendants = call->dispatches;
     if (answer.struck)
     {
         answer.body.clear();
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -51,6 +51,7 @@
         bool answered{false};
     };
 
+    void refuse_over_budget(const origin_call& call);
     void issue_key(const http::respond& respond);
     std::string next_key();
     origin_call make_call(
--- a/src/node/internal/origin_call.hpp
+++ b/src/node/internal/origin_call.hpp
@@ -49,6 +49,11 @@
     decisions::target_address fixed_target;
     std::set<std::string> tried;
 
+    //! Dispatches so far, with those that they caused down the graph.
+    std::uint32_t dispatches{0};
+    //! The context had no extra attempt left for this call.
+    bool over_budget{false};
+
     //! The dispatch in progress; 0 for none.
     std::uint64_t attempt{0};
     std::string target;
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -521,6 +521,7 @@
     answer.id = call.call.id;
     answer.digest = call.call.digest;
     answer.unspent = call.budget.left();
+    answer.descendants = call.descendants;
     if (call.reply)
     {
         call.reply(std::move(answer));
@@ -622,23 +623,29 @@
                 return std::nullopt;
             }
             auto& call = found->second;
+            const bool affordable = !call.call.rerun || call.budget.spend();
             return parent_context{
-                call.call.root, call.call.depth, call.call.priority,
-                call.deadline, call.budget.take_for_child()};
+                call.call.root,
+                call.call.depth,
+                call.call.priority,
+                call.deadline,
+                call.budget.take_for_child(),
+                call.call.rerun,
+                affordable};
         });
 }
 
-void target_side::give_back(std::uint64_t serving, std::uint32_t budget)
+void target_side::give_back(
+    std::uint64_t serving, std::uint32_t budget, std::uint32_t dispatches)
 {
-    this->serving.with(
-        [&](serving_table& table)
+    this->serving.with([&](serving_table& table) {
+        const auto found = table.calls.find(serving);
+        if (found != table.calls.end())
         {
-            const auto found = table.calls.find(serving);
-            if (found != table.calls.end())
-            {
-                found->second.budget.give_back(budget);
-            }
-        });
+            found->second.budget.give_back(budget);
+            found->second.descendants += dispatches;
+        }
+    });
 }
 
 void target_side::on_strike(const schema::strike& strike)
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -29,6 +29,9 @@
     std::uint32_t priority{0};
     base::time_ms deadline;
     std::uint32_t budget{0};
+    bool rerun{false};
+    //! False where the call would be an extra dispatch and none is left.
+    bool affordable{true};
 };
 
 //! Answer for a call that was not served.
@@ -59,8 +62,10 @@
     //! Context for a call that the backend server makes while serving;
     //! takes a part of the retry budget.
     std::optional<parent_context> take_context(std::uint64_t serving);
-    //! Returns what a call down the graph did not spend.
-    void give_back(std::uint64_t serving, std::uint32_t budget);
+    //! Returns what a call down the graph did not spend, with the number of
+    //! dispatches that it caused.
+    void give_back(
+        std::uint64_t serving, std::uint32_t budget, std::uint32_t dispatches);
 
     void on_strike(const schema::strike& strike);
     void on_policy(const schema::service_policy& policy);
@@ -88,6 +93,7 @@
         base::time_ms arrived;
         base::time_ms started;
         decisions::retry_budget budget{0};
+        std::uint32_t descendants{0};
         phase state{phase::waiting};
         bool trial{false};
         std::uint64_t transfer{0};
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -138,6 +138,9 @@
     std::int64_t remaining_ms{0};
     //! Extra attempts handed down with the call.
     std::uint32_t budget{0};
+    //! An earlier attempt of this call or of one above may have run, so that
+    //! each dispatch below is an extra one.
+    bool rerun{false};
     //! The call may be dispatched again after may_have_run.
     bool repeatable{false};
     //! The route is ticketed as long.
@@ -161,9 +164,9 @@
         archive(
             this->id, this->home, this->service, this->method, this->path,
             this->headers, this->body, this->digest, this->root, this->depth,
-            this->priority, this->remaining_ms, this->budget, this->repeatable,
-            this->long_work, this->key, this->send_number, this->struck_by,
-            this->trace_parent, this->trace_state);
+            this->priority, this->remaining_ms, this->budget, this->rerun,
+            this->repeatable, this->long_work, this->key, this->send_number,
+            this->struck_by, this->trace_parent, this->trace_state);
     }
 };
 //! The outcome of a call.
@@ -185,6 +188,8 @@
     std::string body{};
     //! Extra attempts handed back.
     std::uint32_t unspent{0};
+    //! Dispatches that the call caused further down the graph.
+    std::uint32_t descendants{0};
     //! The backend server died while running this request.
     bool struck{false};
     //! Load of the answering target.
@@ -197,7 +202,8 @@
     {
         archive(
             this->id, this->digest, this->verdict, this->reason, this->status,
-            this->headers, this->body, this->unspent, this->struck, this->load);
+            this->headers, this->body, this->unspent, this->descendants,
+            this->struck, this->load);
     }
 };
 //! The caller has gone; stop the call if possible.
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -97,17 +97,19 @@
                        for s, rows in sections.items())
 
     def start_backend(self):
-        self.backend = subprocess.Popen(
+        self.backend = self.spawn(
             [BACKEND, "--instance", self.id, "--port", str(self.backend_port),
              "--node-port", str(self.caller_port), "--slots", str(self.slots),
-             "--queue", str(self.queue), "--record", str(self.record)],
-            stdout=subprocess.DEVNULL, stderr=open(self.log, "ab"))
+             "--queue", str(self.queue), "--record", str(self.record)])
 
     def start_node(self):
         file = self.fleet.folder / f"{self.id}.ini"
         file.write_text(self.settings())
-        self.node = subprocess.Popen([NODE, "--settings", str(file)],
-                                     stdout=subprocess.DEVNULL, stderr=open(self.log, "ab"))
+        self.node = self.spawn([NODE, "--settings", str(file)])
+
+    def spawn(self, command):
+        with open(self.log, "ab") as log:
+            return subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=log)
 
     def ready(self):
         try:
--- /dev/null
+++ b/tests/system/test_stops.py
@@ -0,0 +1,94 @@
+"""Planned stops cut nothing; leaving targets get no new work; freezes."""
+import signal
+import time
+import unittest
+
+from fleet import Fleet, finish_load, http_call, policy, route, wait_for
+
+READ = {"name": "read", "service": "events", "path": "/read?ms=10", "rate": 120,
+        "timeout_ms": 3000}
+DOWNLOAD = {"name": "download", "service": "events", "path": "/firmware?ms=1500&size=3000000",
+            "rate": 4, "timeout_ms": 20000, "size": 3000000}
+POLICY = policy("events", slots=40, routes=[
+    route("/read", repeatable=True, priority=2),
+    route("/firmware", repeatable=True, priority=5, long_work=True)])
+
+
+class PlannedStops(unittest.TestCase):
+    def test_nodes_drain_without_cutting(self):
+        with Fleet({"events": {"targets": 4, "slots": 40}}) as fleet:
+            fleet.set_up([POLICY])
+            stays, goes = fleet.instances[:2], fleet.instances[2:]
+            load = fleet.load([READ, DOWNLOAD], [{"seconds": 6, "factor": 1}], 21, nodes=stays,
+                              start_only=True)
+            time.sleep(2)
+            for instance in goes:
+                instance.node.send_signal(signal.SIGTERM)
+                time.sleep(1)
+            totals = finish_load(load)
+            for total in totals.values():
+                cut = {k: v for k, v in total["outcomes"].items()
+                       if not k.startswith(("ran/200", "not_run"))}
+                self.assertEqual(cut, {})
+                self.assertEqual(total["wrong_answers"], 0)
+            self.assertEqual([i.node.wait(30) for i in goes], [0, 0])
+            starts, ends = fleet.executions("start"), fleet.executions("end")
+            self.assertEqual(starts, ends, "work that was cut")
+
+    def test_second_signal_and_limit_cut(self):
+        with Fleet({"events": {"targets": 2}}, {"node": {"drain_limit_ms": 1000}}) as fleet:
+            fleet.set_up([POLICY])
+            path = "/firmware?ms=8000&id=x"
+            load = fleet.load([{**DOWNLOAD, "path": path, "rate": 10}],
+                              [{"seconds": 0.5, "factor": 1}], 22, start_only=True)
+            time.sleep(1)
+            one, two = fleet.instances
+            one.node.send_signal(signal.SIGTERM)
+            two.node.send_signal(signal.SIGTERM)
+            time.sleep(0.2)
+            two.node.send_signal(signal.SIGTERM)
+            self.assertEqual(two.node.wait(30), 3)
+            self.assertEqual(one.node.wait(30), 3)
+            self.assertIn('event=cut cause="drain limit"', one.log.read_text())
+            self.assertIn('event=cut cause="second signal"', two.log.read_text())
+            finish_load(load)
+
+    def test_leaving_backend_server_gets_no_new_work(self):
+        with Fleet({"events": {"targets": 3, "slots": 40}}) as fleet:
+            fleet.set_up([POLICY])
+            load = fleet.load([READ], [{"seconds": 8, "factor": 1}], 23, start_only=True)
+            time.sleep(1)
+            by_health, by_list = fleet.instances[0], fleet.instances[1]
+            by_health.control("health=503")
+            # Health still says ready here; only the list says leaving.
+            by_list.state = "leaving"
+            fleet.publish_lists()
+            time.sleep(3)
+            before = [len(i.executions()) for i in (by_health, by_list)]
+            time.sleep(2.5)
+            after = [len(i.executions()) for i in (by_health, by_list)]
+            self.assertEqual(before, after, "new work after 3 s")
+            totals = finish_load(load)
+            self.assertGreater(totals["read"]["good"], 0)
+
+    def test_frozen_node_acts_on_nothing_from_before(self):
+        with Fleet({"events": {"targets": 2, "zones": ["a"]}}) as fleet:
+            fleet.set_up([POLICY])
+            frozen = fleet.instances[1]
+            fleet.load([READ], [{"seconds": 1, "factor": 1}], 24)
+            for pause in (1, 3):
+                frozen.node.send_signal(signal.SIGSTOP)
+                before = len(frozen.executions())
+                fleet.load([{**READ, "timeout_ms": 300}], [{"seconds": 0.5, "factor": 2}],
+                           24 + pause)
+                time.sleep(pause)
+                frozen.node.send_signal(signal.SIGCONT)
+                time.sleep(0.5)
+                self.assertEqual(len(frozen.executions()), before, "old work was started")
+                wait_for(lambda: frozen.events("woke"), 10)
+            answer = http_call(frozen.caller_port, "GET", "/read?id=after", {"Host": "events"})
+            self.assertEqual(answer.status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
