--- a/src/decisions/admission.hpp
+++ b/src/decisions/admission.hpp
@@ -3,6 +3,7 @@
 #include "base/time.hpp"
 #include "decisions/concurrency_limit.hpp"
 #include "decisions/latency_histogram.hpp"
+#include "decisions/policy_variant.hpp"
 #include "schema/documents.hpp"
 #include "schema/messages.hpp"
 
@@ -45,6 +46,9 @@
 {
     std::uint64_t id{0};
     schema::refusal reason{schema::refusal::none};
+    std::uint32_t priority{0};
+    //! Least important class that still waits; 0 where none does.
+    std::uint32_t worst_waiting{0};
 
     bool operator==(const admission_refusal&) const = default;
 };
@@ -65,7 +69,8 @@
 class admission
 {
 public:
-    explicit admission(std::uint32_t slots);
+    explicit admission(
+        std::uint32_t slots, policy_variant variant = full_policy{});
 
     //! Takes limits from a ticket.
     void apply(const schema::service_policy& policy);
@@ -85,6 +90,7 @@
     //! Refuses waiting calls whose time is over.
     admission_actions expire(base::time_ms now);
 
+
     //! Refuses all waiting calls.
     admission_actions refuse_all(schema::refusal reason);
 
@@ -128,6 +134,12 @@
         std::uint64_t route;
     };
 
+    void expire_into(base::time_ms now, admission_actions& actions);
+    bool refuse_doomed(
+        const admission_request& request, base::time_ms now,
+        admission_actions& actions);
+    //! A more important class was refused a moment ago.
+    bool is_below_floor(std::uint32_t priority, base::time_ms now) const;
     bool is_overloaded(base::time_ms now) const;
     bool is_long(const admission_request& request) const;
     bool lane_has_room(bool long_work) const;
@@ -150,6 +162,11 @@
     void note_refusal(std::uint32_t priority, base::time_ms now);
     latency_histogram& route_times(std::uint64_t route);
 
+    //! Completes the refusals once all is decided.
+    admission_actions with_queue_state(admission_actions actions) const;
+    std::uint32_t current_limit() const;
+
+    policy_variant variant;
     concurrency_limit limit;
     base::duration_ms max_wait;
     std::uint32_t long_share_percent{50};
--- a/src/decisions/concurrency_limit.hpp
+++ b/src/decisions/concurrency_limit.hpp
@@ -34,6 +34,9 @@
     //! Calls allowed at the backend server now.
     std::uint32_t value() const;
 
+    //! The ticketed slots.
+    std::uint32_t ceiling() const;
+
 private:
     void decrease(double factor, double lowest, base::time_ms now);
 
--- a/src/decisions/internal/admission.cpp
+++ b/src/decisions/internal/admission.cpp
@@ -10,6 +10,7 @@
 constexpr base::duration_ms overload_wait{50};
 constexpr base::duration_ms overload_hold{1000};
 constexpr base::duration_ms floor_hold{1000};
+constexpr base::duration_ms order_hold{100};
 constexpr std::size_t max_waiting = 10000;
 constexpr std::size_t max_routes = 1024;
 constexpr std::uint64_t min_samples = 20;
@@ -20,8 +21,8 @@
 constexpr base::time_ms never{INT64_MIN / 2};
 } // namespace
 
-admission::admission(std::uint32_t slots)
-    : limit(slots), max_wait(default_max_wait)
+admission::admission(std::uint32_t slots, policy_variant variant)
+    : variant(variant), limit(slots), max_wait(default_max_wait)
 {
     this->refused_at.fill(never);
 }
@@ -36,27 +37,45 @@
 admission_actions
 admission::offer(const admission_request& request, base::time_ms now)
 {
-    auto actions = this->expire(now);
+    admission_actions actions;
+    this->expire_into(now, actions);
+    if (!this->refuse_doomed(request, now, actions))
+    {
+        this->enqueue(request, now);
+        this->start_waiting(now, actions);
+        this->trim(now, actions);
+    }
+    return this->with_queue_state(std::move(actions));
+}
+
+bool admission::refuse_doomed(
+    const admission_request& request, base::time_ms now,
+    admission_actions& actions)
+{
+    if (!is_full(this->variant))
+    {
+        return false;
+    }
     const auto service = this->expected_service(request.route);
     const auto wait = this->expected_wait(request, now);
-    if (now + wait + service > request.deadline)
+    const bool below_floor = this->is_below_floor(request.priority, now) &&
+        !this->lane_has_room(this->is_long(request));
+    if (now + wait + service <= request.deadline && !below_floor)
     {
-        //! A call that waits for others is doomed by load, not by its caller.
-        const bool by_load = now + service <= request.deadline;
-        if (by_load)
-        {
-            this->shed_lesser(request.priority, now, actions);
-            this->note_refusal(request.priority, now);
-        }
-        actions.refuse.push_back(
-            {request.id,
-             by_load ? schema::refusal::overload : schema::refusal::deadline});
-        return actions;
+        return false;
     }
-    this->enqueue(request, now);
-    this->start_waiting(now, actions);
-    this->trim(now, actions);
-    return actions;
+    //! A call that waits for others is doomed by load, not by its caller.
+    const bool by_load = now + service <= request.deadline;
+    if (by_load)
+    {
+        this->shed_lesser(request.priority, now, actions);
+        this->note_refusal(request.priority, now);
+    }
+    actions.refuse.push_back(
+        {request.id,
+         by_load ? schema::refusal::overload : schema::refusal::deadline,
+         request.priority});
+    return true;
 }
 
 admission_actions admission::finish(
@@ -85,9 +104,9 @@
         this->all_service_times.add(service_time);
     }
     this->limit.on_completion(kind, stretch, this->in_flight(), now);
-    actions = this->expire(now);
+    this->expire_into(now, actions);
     this->start_waiting(now, actions);
-    return actions;
+    return this->with_queue_state(std::move(actions));
 }
 
 bool admission::cancel_waiting(std::uint64_t id)
@@ -106,6 +125,37 @@
 admission_actions admission::expire(base::time_ms now)
 {
     admission_actions actions;
+    this->expire_into(now, actions);
+    return this->with_queue_state(std::move(actions));
+}
+
+admission_actions
+admission::with_queue_state(admission_actions actions) const
+{
+    std::uint32_t worst = 0;
+    for (std::uint32_t i = 0; i < priority_classes; ++i)
+    {
+        worst = this->waiting_per_class[i] > 0 ? i : worst;
+    }
+    for (auto& refused : actions.refuse)
+    {
+        refused.worst_waiting = worst;
+    }
+    return actions;
+}
+
+std::uint32_t admission::current_limit() const
+{
+    return std::visit(
+        overloaded{
+            [&](const full_policy&) { return this->limit.value(); },
+            [&](const fixed_fifo_policy&) { return this->limit.ceiling(); },
+            [](const pass_through_policy&) { return UINT32_MAX; }},
+        this->variant);
+}
+
+void admission::expire_into(base::time_ms now, admission_actions& actions)
+{
     for (auto& lane : this->lanes)
     {
         auto& index = lane.get<by_expiry>();
@@ -116,12 +166,12 @@
             const bool late = call.request.deadline <= now;
             actions.refuse.push_back(
                 {call.id,
-                 late ? schema::refusal::deadline : schema::refusal::overload});
+                 late ? schema::refusal::deadline : schema::refusal::overload,
+                 call.request.priority});
             this->shed_lesser(call.request.priority, now, actions);
             this->note_refusal(call.request.priority, now);
         }
     }
-    return actions;
 }
 
 admission_actions admission::refuse_all(schema::refusal reason)
@@ -131,7 +181,7 @@
     {
         for (const auto& call : lane)
         {
-            actions.refuse.push_back({call.id, reason});
+            actions.refuse.push_back({call.id, reason, call.request.priority});
         }
         lane.clear();
     }
@@ -148,8 +198,12 @@
                              : static_cast<std::uint32_t>(this->recent_wait_ms);
     report.in_flight =
         this->in_flight() + static_cast<std::uint32_t>(this->waiting());
-    report.limit = this->limit.value();
+    report.limit = this->current_limit();
     report.floor = UINT8_MAX;
+    if (!is_full(this->variant))
+    {
+        return report;
+    }
     for (std::uint32_t i = priority_classes; i > 0; --i)
     {
         if (now - this->refused_at[i - 1] < floor_hold)
@@ -170,6 +224,14 @@
     return this->lanes[0].size() + this->lanes[1].size();
 }
 
+bool admission::is_below_floor(
+    std::uint32_t priority, base::time_ms now) const
+{
+    return std::any_of(
+        this->refused_at.begin(), this->refused_at.begin() + priority,
+        [&](base::time_ms refused) { return now - refused < order_hold; });
+}
+
 bool admission::is_overloaded(base::time_ms now) const
 {
     return now < this->overloaded_until;
@@ -202,17 +264,22 @@
 
 bool admission::lane_has_room(bool long_work) const
 {
-    if (this->in_flight() >= this->limit.value())
+    if (this->in_flight() >= this->current_limit())
     {
         return false;
     }
-    return !long_work || this->long_running < this->long_cap();
+    return !long_work || !is_full(this->variant) ||
+        this->long_running < this->long_cap();
 }
 
 admission::order_key
 admission::order_of(const admission_request& request, base::time_ms now)
 {
     ++this->sequence;
+    if (!is_full(this->variant))
+    {
+        return {0, 0, 0, this->sequence};
+    }
     const auto depth = -static_cast<std::int64_t>(request.depth);
     if (!this->is_overloaded(now))
     {
@@ -265,8 +332,10 @@
 {
     const auto service = this->expected_service(request.route);
     const auto last_start = request.deadline - service;
-    const auto expires = std::min(last_start, now + this->max_wait);
-    auto& lane = this->lanes[this->is_long(request) ? 1 : 0];
+    const bool full = is_full(this->variant);
+    const auto expires =
+        full ? std::min(last_start, now + this->max_wait) : request.deadline;
+    auto& lane = this->lanes[full && this->is_long(request) ? 1 : 0];
     const auto order = this->order_of(request, now);
     lane.insert({request.id, order, expires, now, request});
     ++this->waiting_per_class[request.priority];
@@ -338,7 +407,7 @@
         auto& lane = this->least_important_lane();
         const auto last = *std::prev(lane.get<by_order>().end());
         this->erase_waiting(lane, last.id);
-        actions.refuse.push_back({last.id, schema::refusal::overload});
+        actions.refuse.push_back({last.id, schema::refusal::overload, last.request.priority});
         this->note_refusal(last.request.priority, now);
     }
 }
@@ -349,7 +418,7 @@
     for (auto& lane : this->lanes)
     {
         auto& index = lane.get<by_order>();
-        while (!index.empty())
+        while (is_full(this->variant) && !index.empty())
         {
             const auto last = *std::prev(index.end());
             if (last.request.priority <= priority)
@@ -357,7 +426,7 @@
                 break;
             }
             this->erase_waiting(lane, last.id);
-            actions.refuse.push_back({last.id, schema::refusal::overload});
+            actions.refuse.push_back({last.id, schema::refusal::overload, last.request.priority});
             this->note_refusal(last.request.priority, now);
         }
     }
--- a/src/decisions/internal/concurrency_limit.cpp
+++ b/src/decisions/internal/concurrency_limit.cpp
@@ -56,6 +56,11 @@
     return std::max(1U, static_cast<std::uint32_t>(this->current));
 }
 
+std::uint32_t concurrency_limit::ceiling() const
+{
+    return static_cast<std::uint32_t>(this->slots);
+}
+
 void concurrency_limit::decrease(
     double factor, double lowest, base::time_ms now)
 {
--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -45,8 +45,9 @@
     return "unknown";
 }
 
-target_table::target_table(std::string self, std::string zone)
-    : self(std::move(self)), zone(std::move(zone))
+target_table::target_table(
+    std::string self, std::string zone, policy_variant variant)
+    : self(std::move(self)), zone(std::move(zone)), variant(variant)
 {
 }
 
@@ -83,6 +84,10 @@
     const std::set<std::string>& excluded, std::mt19937_64& random,
     base::time_ms now)
 {
+    if (!is_full(this->variant))
+    {
+        return this->next_in_turn(excluded);
+    }
     if (auto* probed = this->probe_due(excluded, now))
     {
         probed->last_probe = now;
@@ -96,6 +101,21 @@
     return this->better_of_two(pool, random, now)->address;
 }
 
+std::optional<target_address>
+target_table::next_in_turn(const std::set<std::string>& excluded)
+{
+    std::vector<target_address> pool;
+    for (const auto& [id, candidate] : this->targets)
+    {
+        if (!candidate.listed_leaving && excluded.count(id) == 0)
+        {
+            pool.push_back(candidate.address);
+        }
+    }
+    return pool.empty() ? std::nullopt
+                        : std::optional(pool[this->turn++ % pool.size()]);
+}
+
 bool target_table::floor_refuses(
     std::uint32_t priority, std::mt19937_64& random, base::time_ms now) const
 {
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "decisions/policy_variant.hpp"
 #include "schema/documents.hpp"
 #include "schema/messages.hpp"
 
@@ -66,7 +67,9 @@
 {
 public:
     //! \p self is the choosing instance, \p zone its availability zone.
-    target_table(std::string self, std::string zone);
+    target_table(
+        std::string self, std::string zone,
+        policy_variant variant = full_policy{});
 
     //! Takes the instance list; targets that have denied work stay denied.
     void apply(const schema::instance_list& list, base::time_ms now);
@@ -137,8 +140,13 @@
     double median_latency(const target& except) const;
     std::size_t ejected_count(base::time_ms now) const;
 
+    std::optional<target_address>
+    next_in_turn(const std::set<std::string>& excluded);
+
     std::string self;
     std::string zone;
+    policy_variant variant;
+    std::size_t turn{0};
     bool list_known{false};
     std::unordered_map<std::string, target> targets;
 };
--- /dev/null
+++ b/src/decisions/tests/admission_test.cpp
@@ -0,0 +1,142 @@
+#include "decisions/admission.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+
+using namespace bilberrytally;
+using decisions::admission;
+using decisions::admission_request;
+using decisions::completion;
+
+namespace
+{
+admission_request
+make_request(std::uint64_t id, std::uint32_t priority, std::int64_t deadline)
+{
+    admission_request request;
+    request.id = id;
+    request.priority = priority;
+    request.root_hash = id * 0x9e3779b97f4a7c15;
+    request.deadline = {deadline};
+    return request;
+}
+} // namespace
+
+TEST_CASE("calls start up to the limit, then the most important next")
+{
+    admission target(1);
+    CHECK(target.offer(make_request(1, 5, 1000), {0}).start.size() == 1);
+    CHECK(target.offer(make_request(2, 5, 1000), {0}).start.empty());
+    CHECK(target.offer(make_request(3, 0, 1000), {1}).start.empty());
+    const auto next =
+        target.finish(1, completion::served, {10}, {10});
+    CHECK(next.start == std::vector<std::uint64_t>{3});
+}
+
+TEST_CASE("a deeper call goes before one of the same class")
+{
+    admission target(1);
+    target.offer(make_request(1, 5, 1000), {0});
+    target.offer(make_request(2, 5, 1000), {0});
+    auto deep = make_request(3, 5, 1000);
+    deep.depth = 2;
+    target.offer(deep, {1});
+    CHECK(
+        target.finish(1, completion::served, {10}, {10}).start ==
+        std::vector<std::uint64_t>{3});
+}
+
+TEST_CASE("waiting is bounded by time and refused calls have not started")
+{
+    admission target(1);
+    target.offer(make_request(1, 5, 5000), {0});
+    target.offer(make_request(2, 5, 5000), {0});
+    CHECK(target.expire({499}).refuse.empty());
+    const auto late = target.expire({500});
+    REQUIRE(late.refuse.size() == 1);
+    CHECK(late.refuse[0].reason == schema::refusal::overload);
+    CHECK(target.waiting() == 0);
+}
+
+TEST_CASE("long work never holds the last slots and is not starved")
+{
+    admission target(4);
+    for (std::uint64_t i = 1; i <= 4; ++i)
+    {
+        auto call = make_request(i, 5, 100000);
+        call.long_work = true;
+        target.offer(call, {0});
+    }
+    CHECK(target.in_flight() == 2);
+    CHECK(target.offer(make_request(10, 5, 100000), {0}).start.size() == 1);
+    CHECK(target.offer(make_request(11, 5, 100000), {0}).start.size() == 1);
+    target.offer(make_request(12, 5, 100000), {1});
+    target.finish(1, completion::served, {100}, {100});
+    target.finish(2, completion::served, {100}, {100});
+    //! Both kinds wait; one long call runs again beside the short ones.
+    CHECK(target.in_flight() == 4);
+}
+
+TEST_CASE("the limit falls on shed answers and recovers by itself")
+{
+    admission target(100);
+    std::int64_t now = 0;
+    std::uint64_t id = 1;
+    for (int i = 0; i < 50; ++i, now += 101)
+    {
+        target.offer(make_request(++id, 5, now + 1000), {now});
+        target.finish(id, completion::shed, {1}, {now});
+    }
+    CHECK(target.report({now}).limit < 20);
+    for (int i = 0; i < 4000; ++i)
+    {
+        target.offer(make_request(++id, 5, now + 1000), {now});
+        target.finish(id, completion::served, {1}, {now});
+    }
+    CHECK(target.report({now}).limit == 100);
+}
+
+TEST_CASE("no call is refused for load while a lesser one waits")
+{
+    const bool held = rc::check("random load, all refusals in order", [] {
+        admission target(4);
+        std::map<std::uint64_t, std::uint32_t> waiting;
+        std::map<std::uint64_t, std::int64_t> running;
+        std::int64_t now = 0;
+        const auto apply = [&](const decisions::admission_actions& actions) {
+            for (const auto& refused : actions.refuse)
+            {
+                const auto priority = refused.priority;
+                waiting.erase(refused.id);
+                if (refused.reason == schema::refusal::overload)
+                {
+                    RC_ASSERT(refused.worst_waiting <= priority);
+                }
+            }
+            for (const auto id : actions.start)
+            {
+                RC_ASSERT(running.emplace(id, now + 20).second);
+                waiting.erase(id);
+            }
+            RC_ASSERT(target.waiting() == waiting.size());
+        };
+        for (std::uint64_t id = 1; id < 300; ++id)
+        {
+            now += *rc::gen::inRange(0, 6);
+            while (!running.empty() && running.begin()->second <= now)
+            {
+                const auto done = running.begin()->first;
+                running.erase(running.begin());
+                apply(target.finish(done, completion::served, {20}, {now}));
+            }
+            const auto priority = *rc::gen::inRange<std::uint32_t>(0, 10);
+            waiting.emplace(id, priority);
+            apply(target.offer(
+                make_request(id, priority, now + *rc::gen::inRange(10, 300)),
+                {now}));
+        }
+    });
+    CHECK(held);
+}
--- /dev/null
+++ b/src/decisions/tests/routing_test.cpp
@@ -0,0 +1,273 @@
+#include "decisions/quarantine.hpp"
+#include "decisions/reader_schedule.hpp"
+#include "decisions/resend_gate.hpp"
+#include "decisions/retry_budget.hpp"
+#include "decisions/spread_tree.hpp"
+#include "decisions/target_table.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <numeric>
+
+using namespace bilberrytally;
+using namespace bilberrytally::decisions;
+
+namespace
+{
+schema::instance_list make_list(std::size_t count)
+{
+    schema::instance_list list{1, "s", {}};
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        list.instances.push_back(
+            {"i" + std::to_string(i), i % 2 == 0 ? "a" : "b", "127.0.0.1",
+             static_cast<std::uint32_t>(1000 + i),
+             schema::instance_state::live});
+    }
+    return list;
+}
+
+std::map<std::string, int>
+choose_many(target_table& table, int count, base::time_ms now)
+{
+    std::mt19937_64 random(1);
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < count; ++i)
+    {
+        const auto target = table.choose({}, random, now);
+        if (target)
+        {
+            ++chosen[target->instance];
+        }
+    }
+    return chosen;
+}
+} // namespace
+
+TEST_CASE("the budget handed down and kept never exceeds the whole")
+{
+    retry_budget root(5);
+    const auto handed = root.take_for_dispatch();
+    CHECK(handed + root.left() == 5);
+    retry_budget pool(handed);
+    const auto one = pool.take_for_child();
+    const auto two = pool.take_for_child();
+    CHECK(one + two + pool.left() == handed);
+    CHECK(one > 0);
+    CHECK(two > 0);
+    CHECK_FALSE(retry_budget(1).spend(2));
+}
+
+TEST_CASE("retries are a share of fresh calls")
+{
+    retry_ratio ratio;
+    int allowed = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        ratio.on_fresh_call("s", 10);
+        allowed += ratio.allow_retry("s") ? 1 : 0;
+    }
+    CHECK(allowed <= 105);
+    CHECK(allowed >= 95);
+}
+
+TEST_CASE("re-sends of refused requests are held back, fresh ones pass")
+{
+    resend_gate gate;
+    int passed = 0;
+    for (std::uint64_t i = 0; i < 200; ++i)
+    {
+        CHECK(gate.allow(i, "s", {0}));
+        const auto retry_after = gate.on_refusal(i, {0});
+        CHECK(retry_after >= base::duration_ms{1000});
+        CHECK(retry_after < base::duration_ms{3000});
+        passed += gate.allow(i, "s", {1}) ? 1 : 0;
+    }
+    CHECK(passed <= 40);
+    CHECK(gate.allow(5, "s", {4000}));
+}
+
+TEST_CASE("the own zone is preferred, other zones take the overflow")
+{
+    target_table table("x", "a");
+    table.apply(make_list(4), {0});
+    for (const auto& [id, count] : choose_many(table, 100, {1}))
+    {
+        CHECK((id == "i0" || id == "i2"));
+    }
+    table.on_draining("i0", true);
+    table.on_unreachable("i2", {1});
+    for (const auto& [id, count] : choose_many(table, 100, {2}))
+    {
+        CHECK((id == "i1" || id == "i3"));
+    }
+}
+
+TEST_CASE("a list never brings back a target that denies work")
+{
+    target_table table("x", "a");
+    table.apply(make_list(2), {0});
+    table.on_draining("i0", true);
+    table.apply(make_list(2), {1});
+    CHECK(choose_many(table, 50, {2}).count("i0") == 0);
+}
+
+TEST_CASE("a slow target is ejected, at most a third of them, and probed")
+{
+    target_table table("x", "z");
+    table.apply(make_list(6), {0});
+    for (int i = 0; i < 40; ++i)
+    {
+        for (int target = 0; target < 6; ++target)
+        {
+            const auto id = "i" + std::to_string(target);
+            table.on_dispatch(id, {i});
+            table.on_result(
+                id, {true, false, {target < 3 ? 500 : 10}, {}}, {i});
+        }
+    }
+    int ejected = 0;
+    for (const auto& row : table.view({41}))
+    {
+        ejected += row.state == target_state::ejected ? 1 : 0;
+    }
+    CHECK(ejected == 2);
+    std::mt19937_64 random(1);
+    const auto probe = table.choose({}, random, {700});
+    REQUIRE(probe);
+    CHECK(probe->instance < "i3");
+}
+
+TEST_CASE("a new target gets a growing share")
+{
+    target_table table("x", "z");
+    table.apply(make_list(3), {0});
+    table.apply(make_list(4), {1});
+    for (const auto* id : {"i0", "i1", "i2", "i3"})
+    {
+        table.on_dispatch(id, {2});
+        table.on_result(id, {true, false, {10}, {}}, {2});
+    }
+    const auto early = choose_many(table, 1000, {3})["i3"];
+    const auto late = choose_many(table, 1000, {20000})["i3"];
+    CHECK(early < late);
+}
+
+TEST_CASE("floors refuse lesser classes, lapse, and are probed")
+{
+    target_table table("x", "a");
+    table.apply(make_list(1), {0});
+    schema::load_report load;
+    load.valid = true;
+    load.floor = 4;
+    table.on_dispatch("i0", {0});
+    table.on_result("i0", {true, true, {1}, load}, {0});
+    std::mt19937_64 random(1);
+    int refused = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        refused += table.floor_refuses(5, random, {10}) ? 1 : 0;
+        CHECK_FALSE(table.floor_refuses(4, random, {10}));
+    }
+    CHECK(refused > 70);
+    CHECK(refused < 100);
+    CHECK_FALSE(table.floor_refuses(5, random, {1001}));
+}
+
+TEST_CASE("a struck request runs alone on one target, then is refused")
+{
+    quarantine strikes;
+    CHECK(strikes.check(1, "t1", "t2", {0}) == quarantine_decision::pass);
+    strikes.strike(1, "t1#1", {0});
+    strikes.strike(2, "t1#1", {0});
+    CHECK(strikes.check(1, "t3", "t2", {1}) == quarantine_decision::elsewhere);
+    CHECK(strikes.check(1, "t2", "t2", {1}) == quarantine_decision::trial);
+    CHECK(strikes.check(2, "t2", "t2", {1}) == quarantine_decision::wait);
+    strikes.end_trial(1);
+    strikes.strike(1, "t2#1", {2});
+    CHECK(strikes.check(1, "t2", "t2", {3}) == quarantine_decision::refuse);
+    CHECK(strikes.check(2, "t2", "t2", {3}) == quarantine_decision::trial);
+    strikes.clear(2);
+    CHECK(strikes.check(2, "t2", "t2", {4}) == quarantine_decision::pass);
+    CHECK(strikes.check(1, "t2", "t2", {700000}) == quarantine_decision::pass);
+}
+
+TEST_CASE("trees reach every member, and relaying is spread")
+{
+    std::vector<std::string> members;
+    for (int i = 0; i < 500; ++i)
+    {
+        members.push_back("m" + std::to_string(i));
+    }
+    std::map<std::string, std::size_t> sent;
+    for (std::uint64_t digest = 0; digest < 20; ++digest)
+    {
+        std::set<std::string> reached{"m7"};
+        std::vector<std::string> front{"m7"};
+        while (!front.empty())
+        {
+            const auto self = front.back();
+            front.pop_back();
+            for (const auto& child :
+                 spread_children(members, self, digest, self == "m7"))
+            {
+                ++sent[self];
+                if (reached.insert(child).second)
+                {
+                    front.push_back(child);
+                }
+            }
+        }
+        CHECK(reached.size() == members.size());
+    }
+    for (const auto& [id, count] : sent)
+    {
+        CHECK(count < 20 * 10);
+    }
+}
+
+TEST_CASE("reads stay far under 2000/s at a cold start of 16,000 nodes")
+{
+    constexpr std::uint32_t fleet = 16000;
+    constexpr base::duration_ms wait{2000};
+    std::mt19937_64 random(5);
+    std::vector<reader_schedule> nodes;
+    for (std::uint32_t i = 0; i < fleet; ++i)
+    {
+        nodes.emplace_back(2, fleet, wait, random, base::time_ms{0});
+    }
+    std::int64_t worst = 0;
+    std::int64_t this_second = 0;
+    for (std::int64_t now = 0; now < 120000; now += 50)
+    {
+        if (now % 1000 == 0)
+        {
+            worst = std::max(worst, this_second);
+            this_second = 0;
+        }
+        for (auto& node : nodes)
+        {
+            if (node.should_read({now}))
+            {
+                ++this_second;
+                //! The service is down for the whole time.
+                node.on_failure(random, {now});
+            }
+        }
+    }
+    MESSAGE("worst second: ", worst, " reads");
+    CHECK(worst < 2000);
+}
+
+TEST_CASE("the next reader steps in when the first ones fall silent")
+{
+    std::mt19937_64 random(5);
+    reader_schedule node(2, 1, {2000}, random, {0});
+    node.set_rank(2, 8, 100);
+    node.on_zone_read({0}, {100});
+    CHECK_FALSE(node.should_read({2000}));
+    CHECK(node.should_read({20000}));
+    node.on_zone_read({0}, {20000});
+    CHECK_FALSE(node.should_read({20001}));
+}
--- a/src/node/internal/admin_api.cpp
+++ b/src/node/internal/admin_api.cpp
@@ -119,6 +119,10 @@
     {
         return json_response(this->targets_of_services());
     }
+    if (path == "/v1/calls")
+    {
+        return json_response(this->calls());
+    }
     if (path == "/v1/quarantine")
     {
         return json_response(this->quarantine());
@@ -245,6 +249,23 @@
         });
 }
 
+nlohmann::json admin_api::calls()
+{
+    auto rows = nlohmann::json::array();
+    for (const auto& row : this->targets.view())
+    {
+        rows.push_back(
+            {{"call", base::to_hex(row.id)},
+             {"root", base::to_hex(row.root)},
+             {"path", row.path},
+             {"state", row.state},
+             {"priority", row.priority},
+             {"depth", row.depth},
+             {"age_ms", row.age.count}});
+    }
+    return rows;
+}
+
 nlohmann::json admin_api::quarantine()
 {
     auto rows = nlohmann::json::array();
--- a/src/node/internal/admin_api.hpp
+++ b/src/node/internal/admin_api.hpp
@@ -38,6 +38,7 @@
     nlohmann::json status();
     nlohmann::json tickets();
     nlohmann::json targets_of_services();
+    nlohmann::json calls();
     nlohmann::json quarantine();
     nlohmann::json timeline(const std::string& query);
     http::response expose_metrics();
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint32_t first_server_error = 500;
 constexpr std::uint64_t max_timeout_ms = 3600000;
 constexpr double ms_per_s = 1000;
+//! Attempts at each hop under the baseline policies.
+constexpr std::uint32_t baseline_attempts = 4;
 
 bool is_overload(schema::refusal reason)
 {
@@ -222,7 +224,7 @@
 
 bool caller_side::resend_allowed(const origin_call& call)
 {
-    if (call.parent != 0)
+    if (call.parent != 0 || !decisions::is_full(this->tables.variant))
     {
         return true;
     }
@@ -402,7 +404,9 @@
         [&](auto& targets, routing_table& table)
         {
             const auto now = base::now();
-            if (targets.floor_refuses(call.call.priority, table.random, now))
+            const bool full = decisions::is_full(this->tables.variant);
+            if (full &&
+                targets.floor_refuses(call.call.priority, table.random, now))
             {
                 reason = refusal::overload;
                 return;
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -13,6 +13,7 @@
     asio::io_context& context, schema::node_settings settings,
     std::uint64_t incarnation)
     : context(context), settings(std::move(settings)), incarnation(incarnation),
+      variant(decisions::make_policy_variant(this->settings.policy.variant)),
       freezes(base::now()), events(timeline_events),
       keys(max_key_records, key_lifetime)
 {
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -3,6 +3,7 @@
 #include "base/guarded.hpp"
 #include "decisions/document_store.hpp"
 #include "decisions/key_records.hpp"
+#include "decisions/policy_variant.hpp"
 #include "decisions/resend_gate.hpp"
 #include "decisions/retry_budget.hpp"
 #include "decisions/target_table.hpp"
@@ -68,6 +69,7 @@
     asio::io_context& context;
     const schema::node_settings settings;
     const std::uint64_t incarnation;
+    const decisions::policy_variant variant;
     freeze_guard freezes;
     metrics counts;
     timeline::timeline events;
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -15,6 +15,7 @@
 constexpr base::duration_ms load_interval{200};
 constexpr std::size_t max_trial_queue = 256;
 constexpr double ms_per_s = 1000;
+constexpr base::duration_ms baseline_timeout{60000};
 //! Long work is refused while less than this share of the memory is free.
 constexpr std::uint64_t held_share = 2;
 
@@ -41,7 +42,7 @@
 target_side::target_side(
     node_tables& tables, std::unique_ptr<http::http_client> client)
     : tables(tables), client(std::move(client)), monitor(tables, *this->client),
-      serving(tables.settings.node.slots)
+      serving(tables.settings.node.slots, tables.variant)
 {
 }
 
@@ -205,7 +206,10 @@
 {
     for (const auto& refused : actions.refuse)
     {
-        this->refuse(refused.id, refused.reason);
+        this->refuse(
+            refused.id, refused.reason,
+            " priority=" + std::to_string(refused.priority) +
+                " worst_waiting=" + std::to_string(refused.worst_waiting));
     }
     for (const auto id : actions.start)
     {
@@ -237,7 +241,9 @@
          trace_state_for(id, call.call.trace_state)});
     transfer.host = backend.host;
     transfer.port = backend.port;
-    transfer.timeout = remaining;
+    //! The baselines do not bound work by its deadline.
+    const bool full = decisions::is_full(this->tables.variant);
+    transfer.timeout = full ? remaining : baseline_timeout;
     transfer.connect_timeout = {backend.connect_timeout_ms};
     return transfer;
 }
@@ -488,7 +494,8 @@
     this->broadcast_strike(cleared);
 }
 
-void target_side::refuse(std::uint64_t id, schema::refusal reason)
+void target_side::refuse(
+    std::uint64_t id, schema::refusal reason, const std::string& detail)
 {
     std::optional<serving_call> ended;
     this->serving.with(
@@ -511,7 +518,7 @@
     {
         this->tables.note(
             {0, "refuse", ended->call.root, id, ended->call.service,
-             "reason=" + std::string(schema::to_string(reason))});
+             "reason=" + std::string(schema::to_string(reason)) + detail});
         this->send_answer(*ended, make_refusal(base::verdict::not_run, reason));
     }
 }
@@ -582,7 +589,7 @@
     {
         this->refuse(id, refusal::cancelled);
     }
-    else if (transfer != 0)
+    else if (transfer != 0 && decisions::is_full(this->tables.variant))
     {
         this->client->cancel(transfer);
     }
@@ -728,6 +735,38 @@
                               { return table.calls.size(); });
 }
 
+std::string_view target_side::to_string(phase state)
+{
+    switch (state)
+    {
+    case phase::waiting:
+        return "waiting";
+    case phase::on_hold:
+        return "on_hold";
+    case phase::running:
+        return "running";
+    case phase::probing:
+        return "probing";
+    }
+    return "unknown";
+}
+
+std::vector<serving_view> target_side::view()
+{
+    const auto now = base::now();
+    return this->serving.with([&](serving_table& table) {
+        std::vector<serving_view> rows;
+        rows.reserve(table.calls.size());
+        for (const auto& [id, call] : table.calls)
+        {
+            rows.push_back(
+                {id, call.call.root, call.call.path, to_string(call.state),
+                 call.call.priority, call.call.depth, now - call.arrived});
+        }
+        return rows;
+    });
+}
+
 std::vector<decisions::quarantine_view> target_side::quarantined()
 {
     return this->serving.with([](serving_table& table)
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace bilberrytally::node
 {
@@ -34,6 +35,18 @@
     bool affordable{true};
 };
 
+//! A row for operators: a call at the own backend server.
+struct serving_view
+{
+    std::uint64_t id{0};
+    std::uint64_t root{0};
+    std::string path;
+    std::string_view state;
+    std::uint32_t priority{0};
+    std::uint32_t depth{0};
+    base::duration_ms age;
+};
+
 //! Answer for a call that was not served.
 schema::answer make_refusal(base::verdict verdict, schema::refusal reason);
 
@@ -73,6 +86,7 @@
 
     schema::load_report load(base::time_ms now);
     std::size_t calls();
+    std::vector<serving_view> view();
     std::vector<decisions::quarantine_view> quarantined();
 
 private:
@@ -84,6 +98,8 @@
         probing, //!< The connection broke; is the backend server alive?
     };
 
+    static std::string_view to_string(phase state);
+
     struct serving_call
     {
         schema::call call;
@@ -111,7 +127,9 @@
         std::uint32_t shed_status{0};
         std::uint64_t deaths{0};
 
-        explicit serving_table(std::uint32_t slots) : admission(slots)
+        serving_table(
+            std::uint32_t slots, const decisions::policy_variant& variant)
+            : admission(slots, variant)
         {
         }
     };
@@ -131,7 +149,9 @@
         std::uint64_t id, schema::answer answer, decisions::completion kind,
         base::duration_ms service_time);
     void end_trial(const serving_call& call, const schema::answer& answer);
-    void refuse(std::uint64_t id, schema::refusal reason);
+    void refuse(
+        std::uint64_t id, schema::refusal reason,
+        const std::string& detail = {});
     void send_answer(serving_call& call, schema::answer answer);
     void broadcast_strike(const schema::strike& strike);
     http::transfer_request make_transfer(
--- /dev/null
+++ b/src/node/tests/node_test.cpp
@@ -0,0 +1,98 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "node/internal/freeze_guard.hpp"
+#include "node/internal/http_mapping.hpp"
+#include "node/internal/issued_key.hpp"
+#include "platform/platform_client.hpp"
+#include "timeline/timeline.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytally;
+using namespace bilberrytally::node;
+
+TEST_CASE("issued keys cannot be made up or changed")
+{
+    const issued_key key{"10.0.0.1", 7000, 0xabcdef, 42};
+    const auto text = key.format("secret of the fleet");
+    CHECK(issued_key::parse(text, "secret of the fleet") == key);
+    CHECK_FALSE(issued_key::parse(text, "another secret"));
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        auto changed = text;
+        changed[i] = changed[i] == '1' ? '2' : '1';
+        CHECK_FALSE(issued_key::parse(changed, "secret of the fleet"));
+    }
+    CHECK_FALSE(issued_key::parse("bt1_", "secret of the fleet"));
+}
+
+TEST_CASE("the longest matching route counts, unknown ones may not repeat")
+{
+    schema::service_policy policy;
+    policy.routes = {
+        {"*", "/", 5, true, false, true}, {"POST", "/ack", 0, false, false, true}};
+    http::request request;
+    request.method = "POST";
+    request.target = "/ack/7";
+    CHECK(find_route(policy, request).priority == 0);
+    request.method = "GET";
+    CHECK(find_route(policy, request).repeatable);
+    policy.routes.clear();
+    CHECK_FALSE(find_route(policy, request).repeatable);
+}
+
+TEST_CASE("the call's id travels in tracestate beside other members")
+{
+    const auto state = trace_state_for(255, "a=1,bilberrytally=00,b=2");
+    CHECK(state == "bilberrytally=00000000000000ff,a=1,b=2");
+    CHECK(call_of_trace({{"tracestate", state}}) == 255);
+    CHECK_FALSE(call_of_trace({{"tracestate", "a=1"}}));
+    CHECK_FALSE(call_of_trace({{"tracestate", "bilberrytally=zz"}}));
+}
+
+TEST_CASE("a gap between ticks is charged to what is read after it")
+{
+    freeze_guard guard({0});
+    CHECK(guard.on_tick({10}).count == 0);
+    CHECK(guard.charge({20}).count == 0);
+    CHECK(guard.charge({5010}).count == 5000);
+    CHECK(guard.on_tick({5010}).count == 5000);
+    CHECK(guard.charge({5020}).count == 5000);
+    CHECK(guard.on_tick({5030}).count == 0);
+    CHECK(guard.charge({5050}).count == 0);
+}
+
+TEST_CASE("wrong answers of the platform name their place")
+{
+    const auto text_of = [](const std::string& body) {
+        return base::handle(
+            [&]() -> base::result<std::string> {
+                BOOST_LEAF_AUTO(changes, platform::parse_changes(body));
+                return std::to_string(changes.documents.size());
+            },
+            [](const base::error& failure) { return failure.text(); });
+    };
+    CHECK(text_of(R"({"index":1,"documents":["a",7]})") == "2");
+    CHECK(text_of("{") == "changes: expected a JSON object");
+    CHECK(
+        text_of(R"({"index":"x","documents":[]})") ==
+        "changes.index: expected a whole number");
+    CHECK(
+        text_of(R"({"index":1,"documents":7})") ==
+        "changes.documents: expected a list");
+}
+
+TEST_CASE("the time line keeps the latest events in causal order")
+{
+    timeline::timeline events(3);
+    for (int i = 0; i < 5; ++i)
+    {
+        events.record({0, "k" + std::to_string(i), 0, 0, "", ""});
+    }
+    const auto rows = events.read(0, 10);
+    REQUIRE(rows.size() == 3);
+    CHECK(rows[0].kind == "k2");
+    CHECK(events.read(rows[1].time, 10).size() == 1);
+    const auto future = events.tick() + (1ULL << 40U);
+    events.observe(future);
+    CHECK(events.tick() > future);
+}
--- a/src/schema/internal/ini_fields.cpp
+++ b/src/schema/internal/ini_fields.cpp
@@ -1,22 +1,14 @@
 #include "schema/internal/ini_fields.hpp"
 
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+
 #include <charconv>
-#include <ini.h>
 
 namespace bilberrytally::schema::internal
 {
 namespace
 {
-using value_map = std::map<std::pair<std::string, std::string>, std::string>;
-
-int store_value(
-    void* user, const char* section, const char* key, const char* value)
-{
-    auto& values = *static_cast<value_map*>(user);
-    const bool added = values.emplace(std::pair(section, key), value).second;
-    return added ? 1 : 0;
-}
-
 std::string range_text(setting_bounds range)
 {
     return std::to_string(range.minimum) + " to " +
@@ -27,18 +19,35 @@
 
 base::result<ini_fields> ini_fields::read(const std::string& file)
 {
-    ini_fields fields;
-    fields.file = file;
-    const int line = ini_parse(file.c_str(), store_value, &fields.values);
-    if (line < 0)
+    namespace property_tree = boost::property_tree;
+    property_tree::ptree tree;
+    try
     {
-        return base::fail(file, "cannot be read");
+        property_tree::read_ini(file, tree);
     }
-    if (line > 0)
+    catch (const property_tree::ini_parser_error& failure)
     {
+        const auto line = failure.line() == 0
+            ? std::string()
+            : ":" + std::to_string(failure.line());
         return base::fail(
-            file + ":" + std::to_string(line),
-            "expected [section], key = value or a comment; a key only once");
+            file + line,
+            failure.message() +
+                ", expected [section], key = value or a comment");
+    }
+    ini_fields fields;
+    fields.file = file;
+    for (const auto& [section, keys] : tree)
+    {
+        if (keys.empty())
+        {
+            return base::fail(
+                file + ": " + section, "expected a key within a [section]");
+        }
+        for (const auto& [key, value] : keys)
+        {
+            fields.values.emplace(name{section, key}, value.data());
+        }
     }
     return fields;
 }
@@ -118,6 +127,24 @@
     return {};
 }
 
+base::result<void> ini_fields::check_one_of(
+    const char* section, const char* key,
+    const std::vector<std::string>& allowed, const std::string& value) const
+{
+    std::string names;
+    for (const auto& item : allowed)
+    {
+        if (item == value)
+        {
+            return {};
+        }
+        names += (names.empty() ? "" : ", ") + item;
+    }
+    return base::fail(
+        this->place(section, key),
+        "expected one of " + names + ", not '" + value + "'");
+}
+
 base::result<void> ini_fields::check_all_taken() const
 {
     if (this->values.empty())
--- a/src/schema/internal/ini_fields.hpp
+++ b/src/schema/internal/ini_fields.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace bilberrytally::schema::internal
 {
@@ -35,6 +36,12 @@
     base::result<void>
     take(const char* section, const char* key, setting_bounds range, bool& out);
 
+    //! Fails on a text that is not among the allowed ones.
+    base::result<void> check_one_of(
+        const char* section, const char* key,
+        const std::vector<std::string>& allowed,
+        const std::string& value) const;
+
     //! Fails on the first key that no setting has taken.
     base::result<void> check_all_taken() const;
 
--- a/src/schema/settings.cpp
+++ b/src/schema/settings.cpp
@@ -89,6 +89,12 @@
         "admin", "reader_token", {true, 8, 256}, value.admin.reader_token));
     BOOST_LEAF_CHECK(fields.take(
         "admin", "operator_token", {true, 8, 256}, value.admin.operator_token));
+    BOOST_LEAF_CHECK(fields.take(
+        "policy", "variant", {false, 0, internal::no_maximum},
+        value.policy.variant));
+    BOOST_LEAF_CHECK(fields.check_one_of(
+        "policy", "variant", {"full", "pass_through", "fixed_fifo"},
+        value.policy.variant));
     BOOST_LEAF_CHECK(
         fields.take("log", "level", {false, 0, 2}, value.log.level));
     BOOST_LEAF_CHECK(
--- a/src/schema/settings.hpp
+++ b/src/schema/settings.hpp
@@ -105,6 +105,14 @@
 
         bool operator==(const admin_section&) const = default;
     };
+    //! Section [policy].
+    struct policy_section
+    {
+        //! full, or a baseline for measurements: pass_through, fixed_fifo.
+        std::string variant{"full"};
+
+        bool operator==(const policy_section&) const = default;
+    };
     //! Section [log].
     struct log_section
     {
@@ -121,6 +129,7 @@
     caller_section caller;
     platform_section platform;
     admin_section admin;
+    policy_section policy;
     log_section log;
 
     bool operator==(const node_settings&) const = default;
--- /dev/null
+++ b/src/transport/tests/transport_test.cpp
@@ -0,0 +1,67 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "schema/messages.hpp"
+#include "transport/delay_meter.hpp"
+#include "transport/frame_codec.hpp"
+#include "transport/message_codec.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace bilberrytally;
+using namespace bilberrytally::transport;
+
+TEST_CASE("a sealed frame is read back and any change is noticed")
+{
+    frame_codec codec("a key of the fleet");
+    const std::string body = "body";
+    const frame_header header{3, 4, 9, 77, 1234, 5678};
+    const auto bytes = codec.seal(header, body);
+    frame_header read;
+    CHECK(
+        frame_codec::parse_header(bytes, 100, read) == frame_error::none);
+    CHECK(read == header);
+    CHECK(codec.check(bytes, body) == frame_error::none);
+    CHECK(codec.check(bytes, "bodx") == frame_error::bad_tag);
+    CHECK(
+        frame_codec::parse_header(bytes, 3, read) == frame_error::oversize);
+    CHECK(
+        frame_codec("another key").check(bytes, body) == frame_error::bad_tag);
+    for (std::size_t i = 0; i < bytes.size(); ++i)
+    {
+        auto changed = bytes;
+        changed[i] = static_cast<char>(changed[i] ^ 1);
+        const bool noticed =
+            frame_codec::parse_header(changed, 100, read) !=
+                frame_error::none ||
+            codec.check(changed, body) != frame_error::none;
+        CHECK(noticed);
+    }
+}
+
+TEST_CASE("messages survive the codec, garbage is refused")
+{
+    schema::call call;
+    call.service = "s";
+    call.headers = {{"a", "b"}};
+    call.struck_by = {"x#1"};
+    CHECK(decode<schema::call>(encode(call)) == call);
+    CHECK_FALSE(decode<schema::call>(encode(call) + "x"));
+    const bool held = rc::check("cut messages", [&] {
+        const auto whole = encode(call);
+        const auto length =
+            *rc::gen::inRange<std::size_t>(0, whole.size());
+        RC_ASSERT(!decode<schema::call>(whole.substr(0, length)));
+    });
+    CHECK(held);
+}
+
+TEST_CASE("delay in buffers is measured without synchronized clocks")
+{
+    delay_meter meter;
+    CHECK(meter.measure(1000, {500000}).count == 0);
+    CHECK(meter.measure(1010, {500010}).count == 0);
+    CHECK(meter.measure(1020, {503020}).count == 3000);
+    CHECK(meter.measure(4000, {503000}).count == 0);
+    //! A freeze over the window's end is still noticed.
+    CHECK(meter.measure(4001, {583001}).count == 80000);
+}
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -92,7 +92,7 @@
             "admin": {"port": self.admin_port, "reader_token": READER,
                       "operator_token": OPERATOR}}
         for name, values in self.fleet.settings.items():
-            sections[name].update(values)
+            sections.setdefault(name, {}).update(values)
         return "".join(f"[{s}]\n" + "".join(f"{k} = {v}\n" for k, v in rows.items())
                        for s, rows in sections.items())
 
--- /dev/null
+++ b/tests/system/test_recovery.py
@@ -0,0 +1,48 @@
+"""The spiral: a deep service slows, demand surges, callers re-send hard."""
+import time
+import unittest
+
+from fleet import Fleet, finish_load, policy, route
+
+NAMES = ("front", "middle", "deep")
+ROUTES = [route("/", repeatable=True)]
+
+
+def run_spiral(settings=None, seed=41):
+    """Share of good requests before, during and well after the trigger."""
+    with Fleet({n: {"targets": 2, "slots": 10, "queue": 200} for n in NAMES}, settings) as fleet:
+        fleet.set_up([policy(n, slots=10, routes=ROUTES, timeout_ms=400) for n in NAMES])
+        load = fleet.load(
+            [{"name": "read", "service": "front", "path": "/read?ms=30&chain=middle.deep",
+              "rate": 150, "timeout_ms": 400, "resends": 6}],
+            [{"seconds": 2, "factor": 1}, {"seconds": 3, "factor": 2.5},
+             {"seconds": 6, "factor": 1}], seed, start_only=True)
+        time.sleep(2)
+        for instance in fleet.of("deep"):
+            instance.control("slow=10")
+        time.sleep(3)
+        for instance in fleet.of("deep"):
+            instance.control("slow=1")
+        total = finish_load(load)["read"]
+
+    def share(first, last):
+        rows = [r for r in total["slices"] if first <= r[0] < last]
+        return sum(r[2] for r in rows) / max(1, sum(r[1] for r in rows))
+    return share(5, 20), share(25, 50), share(80, 108)
+
+
+class Recovery(unittest.TestCase):
+    def test_fleet_recovers_by_itself(self):
+        before, during, after = run_spiral()
+        print(f"  product: before={before:.3f} during={during:.3f} after={after:.3f}")
+        self.assertGreater(after, 0.9)
+
+    def test_baseline_stays_down(self):
+        """Shows that the spiral lasts without the mechanisms."""
+        before, during, after = run_spiral({"policy": {"variant": "pass_through"}})
+        print(f"  pass-through: before={before:.3f} during={during:.3f} after={after:.3f}")
+        self.assertLess(after, 0.9)
+
+
+if __name__ == "__main__":
+    unittest.main()
