Cut hops between workers in a call's path

Cause: each queued frame, transfer and result was posted to another strand and often to another worker, a wake-up each. Ruled out: the record file of the stand-in (no change without it), metrics labels.

Change: work is dispatched at once where the strand is free; call ids come from a thread's own generator in place of the system's source.

--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -14,7 +14,8 @@
 base::result<std::uint64_t>
 read_number(const std::string& place, const std::string& text)
 {
-    const bool digits = !text.empty() && text.size() < 16 &&
+    const bool digits =
+        !text.empty() && text.size() < 16 &&
         text.find_first_not_of("0123456789") == std::string::npos;
     if (!digits)
     {
@@ -29,8 +30,7 @@
 {
     BOOST_LEAF_AUTO(number, read_number("in-force", argument));
     BOOST_LEAF_AUTO(seconds, read_number("--wait", line.value("wait", "0")));
-    const base::duration_ms wait{
-        static_cast<std::int64_t>(seconds) * ms_per_s};
+    const base::duration_ms wait{static_cast<std::int64_t>(seconds) * ms_per_s};
     return ctl::show_in_force(client, number, wait, std::cout, std::cerr);
 }
 
@@ -65,17 +65,16 @@
 base::result<int> run(int argc, const char** argv)
 {
     BOOST_LEAF_AUTO(
-        line,
-        app::command_line::parse(
-            argc, argv,
-            {{"nodes", 'n', "Administration addresses", "HOST:PORT,..."},
-             {"token", 't', "Bearer token", "TOKEN"},
-             {"json", 'j', "status: print JSON", ""},
-             {"wait", 'w', "in-force: wait up to this time", "SECONDS"},
-             {"kind", 'k', "timeline: one kind of event", "KIND"},
-             {"request", 'r', "timeline: one request", "HEX"},
-             {"follow", 'f', "timeline: keep reading", ""}},
-            usage));
+        line, app::command_line::parse(
+                  argc, argv,
+                  {{"nodes", 'n', "Administration addresses", "HOST:PORT,..."},
+                   {"token", 't', "Bearer token", "TOKEN"},
+                   {"json", 'j', "status: print JSON", ""},
+                   {"wait", 'w', "in-force: wait up to this time", "SECONDS"},
+                   {"kind", 'k', "timeline: one kind of event", "KIND"},
+                   {"request", 'r', "timeline: one request", "HEX"},
+                   {"follow", 'f', "timeline: keep reading", ""}},
+                  usage));
     if (line.arguments().empty())
     {
         return base::fail("command line", std::string("expected ") + usage);
@@ -89,8 +88,7 @@
     {
         return ctl::check_ticket(nullptr, line.arguments()[1], std::cout);
     }
-    BOOST_LEAF_AUTO(
-        nodes, ctl::admin_address::parse_list(line.value("nodes")));
+    BOOST_LEAF_AUTO(nodes, ctl::admin_address::parse_list(line.value("nodes")));
     ctl::admin_client client(std::move(nodes), line.value("token"));
     if (check)
     {
@@ -104,7 +102,8 @@
 {
     return base::handle(
         [&] { return run(argc, argv); },
-        [](const base::error& failure) {
+        [](const base::error& failure)
+        {
             std::cerr << "bilberrytally-ctl: " << failure.text() << '\n';
             return app::exit_usage;
         });
--- a/src/base/hash.hpp
+++ b/src/base/hash.hpp
@@ -16,7 +16,7 @@
 //! Order-dependent combination of two hashes.
 std::uint64_t combine(std::uint64_t first, std::uint64_t second);
 
-//! Random 64 bits from the system's source.
+//! Random 64 bits; each thread's generator is seeded by the system.
 std::uint64_t random_bits();
 
 //! 16 lower-case hexadecimal digits.
--- a/src/base/internal/hash.cpp
+++ b/src/base/internal/hash.cpp
@@ -28,8 +28,13 @@
 
 std::uint64_t random_bits()
 {
-    std::random_device source;
-    return (static_cast<std::uint64_t>(source()) << 32U) | source();
+    thread_local std::mt19937_64 generator = []
+    {
+        std::random_device source;
+        std::seed_seq seed{source(), source(), source(), source()};
+        return std::mt19937_64(seed);
+    }();
+    return generator();
 }
 
 std::string to_hex(std::uint64_t value)
--- a/src/ctl/internal/admin_client.cpp
+++ b/src/ctl/internal/admin_client.cpp
@@ -54,8 +54,8 @@
         const auto* end = item.data() + item.size();
         const auto* first = item.data() + colon + 1;
         const bool whole = colon != std::string::npos && colon > 0 &&
-            std::from_chars(first, end, node.port).ptr == end &&
-            node.port > 0 && node.port <= max_port;
+                           std::from_chars(first, end, node.port).ptr == end &&
+                           node.port > 0 && node.port <= max_port;
         if (!whole)
         {
             return base::fail(
@@ -92,13 +92,16 @@
         request.host = this->nodes[i].host;
         request.port = this->nodes[i].port;
         request.timeout = ask_timeout;
-        client->start(std::move(request), [&, i](const auto& result) {
-            answers[i] = to_answer(this->nodes[i], result);
-            if (--left == 0)
+        client->start(
+            std::move(request),
+            [&, i](const auto& result)
             {
-                context.stop();
-            }
-        });
+                answers[i] = to_answer(this->nodes[i], result);
+                if (--left == 0)
+                {
+                    context.stop();
+                }
+            });
     }
     context.run();
     return answers;
--- a/src/ctl/internal/commands.cpp
+++ b/src/ctl/internal/commands.cpp
@@ -62,11 +62,10 @@
 
 bool is_wanted(const nlohmann::json& event, const timeline_filter& filter)
 {
-    const bool kind =
-        filter.kind.empty() || event.at("kind") == filter.kind;
+    const bool kind = filter.kind.empty() || event.at("kind") == filter.kind;
     const bool request = filter.request.empty() ||
-        event.at("root") == filter.request ||
-        event.at("call") == filter.request;
+                         event.at("root") == filter.request ||
+                         event.at("call") == filter.request;
     return kind && request;
 }
 
@@ -75,11 +74,12 @@
     admin_client& client, const timeline_filter& filter,
     std::map<std::string, std::uint64_t>& last, bool& all_answered)
 {
-    const auto after = last.empty()
-        ? 0
-        : std::min_element(last.begin(), last.end(), [](auto& a, auto& b) {
-              return a.second < b.second;
-          })->second;
+    const auto after =
+        last.empty() ? 0
+                     : std::min_element(
+                           last.begin(), last.end(),
+                           [](auto& a, auto& b) { return a.second < b.second; })
+                           ->second;
     const auto answers = client.ask(
         "GET", "/v1/timeline?most=20000&after=" + std::to_string(after));
     std::vector<nlohmann::json> events;
@@ -105,9 +105,9 @@
                 seen, answer.body->back().at("time").get<std::uint64_t>());
         }
     }
-    std::stable_sort(events.begin(), events.end(), [](auto& a, auto& b) {
-        return a.at("time") < b.at("time");
-    });
+    std::stable_sort(
+        events.begin(), events.end(),
+        [](auto& a, auto& b) { return a.at("time") < b.at("time"); });
     return events;
 }
 } // namespace
@@ -137,6 +137,7 @@
         for (const auto& answer : answers)
         {
             std::vector<std::string> cells;
+            cells.reserve(keys.size());
             for (const auto* key : keys)
             {
                 cells.push_back(answer.body ? text_of(*answer.body, key) : "-");
@@ -162,7 +163,8 @@
         std::vector<std::string> missing;
         for (const auto& answer : answers)
         {
-            const bool has = answer.body &&
+            const bool has =
+                answer.body &&
                 answer.body->at("highest_ticket").get<std::uint64_t>() >=
                     number;
             if (!has)
--- a/src/ctl/internal/ticket_check.cpp
+++ b/src/ctl/internal/ticket_check.cpp
@@ -33,8 +33,9 @@
         if (present.value(key, nlohmann::json()) != value)
         {
             lines.push_back(
-                policy.name + "." + key + ": " + present.value(key, nlohmann::json()).dump() +
-                " -> " + value.dump());
+                policy.name + "." + key + ": " +
+                present.value(key, nlohmann::json()).dump() + " -> " +
+                value.dump());
         }
     }
 }
--- a/src/decisions/admission.hpp
+++ b/src/decisions/admission.hpp
@@ -90,7 +90,6 @@
     //! Refuses waiting calls whose time is over.
     admission_actions expire(base::time_ms now);
 
-
     //! Refuses all waiting calls.
     admission_actions refuse_all(schema::refusal reason);
 
--- a/src/decisions/internal/admission.cpp
+++ b/src/decisions/internal/admission.cpp
@@ -59,7 +59,7 @@
     const auto service = this->expected_service(request.route);
     const auto wait = this->expected_wait(request, now);
     const bool below_floor = this->is_below_floor(request.priority, now) &&
-        !this->lane_has_room(this->is_long(request));
+                             !this->lane_has_room(this->is_long(request));
     if (now + wait + service <= request.deadline && !below_floor)
     {
         return false;
@@ -129,8 +129,7 @@
     return this->with_queue_state(std::move(actions));
 }
 
-admission_actions
-admission::with_queue_state(admission_actions actions) const
+admission_actions admission::with_queue_state(admission_actions actions) const
 {
     std::uint32_t worst = 0;
     for (std::uint32_t i = 0; i < priority_classes; ++i)
@@ -224,8 +223,7 @@
     return this->lanes[0].size() + this->lanes[1].size();
 }
 
-bool admission::is_below_floor(
-    std::uint32_t priority, base::time_ms now) const
+bool admission::is_below_floor(std::uint32_t priority, base::time_ms now) const
 {
     return std::any_of(
         this->refused_at.begin(), this->refused_at.begin() + priority,
@@ -269,7 +267,7 @@
         return false;
     }
     return !long_work || !is_full(this->variant) ||
-        this->long_running < this->long_cap();
+           this->long_running < this->long_cap();
 }
 
 admission::order_key
@@ -407,7 +405,8 @@
         auto& lane = this->least_important_lane();
         const auto last = *std::prev(lane.get<by_order>().end());
         this->erase_waiting(lane, last.id);
-        actions.refuse.push_back({last.id, schema::refusal::overload, last.request.priority});
+        actions.refuse.push_back(
+            {last.id, schema::refusal::overload, last.request.priority});
         this->note_refusal(last.request.priority, now);
     }
 }
@@ -426,7 +425,8 @@
                 break;
             }
             this->erase_waiting(lane, last.id);
-            actions.refuse.push_back({last.id, schema::refusal::overload, last.request.priority});
+            actions.refuse.push_back(
+                {last.id, schema::refusal::overload, last.request.priority});
             this->note_refusal(last.request.priority, now);
         }
     }
--- a/src/decisions/internal/reader_schedule.cpp
+++ b/src/decisions/internal/reader_schedule.cpp
@@ -59,13 +59,11 @@
     ++this->failures;
     const base::duration_ms fair{
         static_cast<std::int64_t>(this->fleet) * 1000 / fleet_reads_per_s};
-    const bool reader =
-        this->rank_known && this->rank < this->readers_per_zone;
+    const bool reader = this->rank_known && this->rank < this->readers_per_zone;
     //! Only the few readers retry quickly; all others together stay bounded.
     const auto first = reader ? first_backoff : std::max(first_backoff, fair);
     const auto cap = std::max(shortest_cap, fair * 2);
-    const auto longest =
-        std::min(cap, first * (std::int64_t{1} << doublings));
+    const auto longest = std::min(cap, first * (std::int64_t{1} << doublings));
     std::uniform_int_distribution<std::int64_t> pick(
         longest.count / 2, longest.count);
     this->next_read = now + base::duration_ms{pick(random)};
--- a/src/decisions/tests/admission_test.cpp
+++ b/src/decisions/tests/admission_test.cpp
@@ -30,8 +30,7 @@
     CHECK(target.offer(make_request(1, 5, 1000), {0}).start.size() == 1);
     CHECK(target.offer(make_request(2, 5, 1000), {0}).start.empty());
     CHECK(target.offer(make_request(3, 0, 1000), {1}).start.empty());
-    const auto next =
-        target.finish(1, completion::served, {10}, {10});
+    const auto next = target.finish(1, completion::served, {10}, {10});
     CHECK(next.start == std::vector<std::uint64_t>{3});
 }
 
@@ -100,43 +99,48 @@
 
 TEST_CASE("no call is refused for load while a lesser one waits")
 {
-    const bool held = rc::check("random load, all refusals in order", [] {
-        admission target(4);
-        std::map<std::uint64_t, std::uint32_t> waiting;
-        std::map<std::uint64_t, std::int64_t> running;
-        std::int64_t now = 0;
-        const auto apply = [&](const decisions::admission_actions& actions) {
-            for (const auto& refused : actions.refuse)
+    const bool held = rc::check(
+        "random load, all refusals in order",
+        []
+        {
+            admission target(4);
+            std::map<std::uint64_t, std::uint32_t> waiting;
+            std::map<std::uint64_t, std::int64_t> running;
+            std::int64_t now = 0;
+            const auto apply = [&](const decisions::admission_actions& actions)
             {
-                const auto priority = refused.priority;
-                waiting.erase(refused.id);
-                if (refused.reason == schema::refusal::overload)
+                for (const auto& refused : actions.refuse)
                 {
-                    RC_ASSERT(refused.worst_waiting <= priority);
+                    const auto priority = refused.priority;
+                    waiting.erase(refused.id);
+                    if (refused.reason == schema::refusal::overload)
+                    {
+                        RC_ASSERT(refused.worst_waiting <= priority);
+                    }
                 }
-            }
-            for (const auto id : actions.start)
-            {
-                RC_ASSERT(running.emplace(id, now + 20).second);
-                waiting.erase(id);
-            }
-            RC_ASSERT(target.waiting() == waiting.size());
-        };
-        for (std::uint64_t id = 1; id < 300; ++id)
-        {
-            now += *rc::gen::inRange(0, 6);
-            while (!running.empty() && running.begin()->second <= now)
+                for (const auto id : actions.start)
+                {
+                    RC_ASSERT(running.emplace(id, now + 20).second);
+                    waiting.erase(id);
+                }
+                RC_ASSERT(target.waiting() == waiting.size());
+            };
+            for (std::uint64_t id = 1; id < 300; ++id)
             {
-                const auto done = running.begin()->first;
-                running.erase(running.begin());
-                apply(target.finish(done, completion::served, {20}, {now}));
+                now += *rc::gen::inRange(0, 6);
+                while (!running.empty() && running.begin()->second <= now)
+                {
+                    const auto done = running.begin()->first;
+                    running.erase(running.begin());
+                    apply(target.finish(done, completion::served, {20}, {now}));
+                }
+                const auto priority = *rc::gen::inRange<std::uint32_t>(0, 10);
+                waiting.emplace(id, priority);
+                apply(target.offer(
+                    make_request(
+                        id, priority, now + *rc::gen::inRange(10, 300)),
+                    {now}));
             }
-            const auto priority = *rc::gen::inRange<std::uint32_t>(0, 10);
-            waiting.emplace(id, priority);
-            apply(target.offer(
-                make_request(id, priority, now + *rc::gen::inRange(10, 300)),
-                {now}));
-        }
-    });
+        });
     CHECK(held);
 }
--- a/src/decisions/tests/document_store_test.cpp
+++ b/src/decisions/tests/document_store_test.cpp
@@ -30,7 +30,7 @@
     for (const auto& name : store.services())
     {
         text += " " + name + "=" + std::to_string(store.ticket_number(name)) +
-            ":" + std::to_string(store.policy(name)->slots);
+                ":" + std::to_string(store.policy(name)->slots);
     }
     return text;
 }
@@ -41,7 +41,8 @@
     const bool held = rc::check(
         "any order of deliveries, doubled and lost ones repaired by a second "
         "round, gives one state",
-        [] {
+        []
+        {
             const auto count = *rc::gen::inRange<std::uint64_t>(1, 12);
             std::vector<document> tickets;
             for (std::uint64_t i = 0; i < count; ++i)
@@ -119,7 +120,8 @@
     for (const auto& text : one.missing_from(differing, two.ids(differing)))
     {
         base::handle(
-            [&]() -> base::result<void> {
+            [&]() -> base::result<void>
+            {
                 BOOST_LEAF_AUTO(parsed, document::parse(text));
                 two.merge(parsed);
                 return {};
--- a/src/decisions/tests/key_records_test.cpp
+++ b/src/decisions/tests/key_records_test.cpp
@@ -62,45 +62,51 @@
 
 TEST_CASE("no issued key runs twice, whatever is dropped in between")
 {
-    const bool held = rc::check("random sends over a small table", [] {
-        key_records records(5, {50});
-        std::map<std::uint64_t, bool> issued;
-        std::set<std::uint64_t> may_have_run;
-        std::set<std::uint64_t> running;
-        std::int64_t now = 0;
-        for (int step = 0; step < 400; ++step)
+    const bool held = rc::check(
+        "random sends over a small table",
+        []
         {
-            now += *rc::gen::inRange(0, 8);
-            if (issued.empty() || *rc::gen::inRange(0, 3) == 0)
+            key_records records(5, {50});
+            std::map<std::uint64_t, bool> issued;
+            std::set<std::uint64_t> may_have_run;
+            std::set<std::uint64_t> running;
+            std::int64_t now = 0;
+            for (int step = 0; step < 400; ++step)
             {
-                issued[records.issue({now})] = true;
-            }
-            const auto at = *rc::gen::inRange<std::size_t>(0, issued.size());
-            const auto sequence = std::next(
-                issued.begin(), static_cast<std::ptrdiff_t>(at))->first;
-            const keyed_send send{
-                std::to_string(sequence), "s", sequence, 0};
-            if (runs(records.on_issued(sequence, send, {now})))
-            {
-                RC_ASSERT(running.count(sequence) == 0);
-                RC_ASSERT(may_have_run.count(sequence) == 0);
-                running.insert(sequence);
-            }
-            if (running.count(sequence) != 0 && *rc::gen::inRange(0, 2) == 0)
-            {
-                running.erase(sequence);
-                const bool ran = *rc::gen::inRange(0, 3) != 0;
-                if (ran)
+                now += *rc::gen::inRange(0, 8);
+                if (issued.empty() || *rc::gen::inRange(0, 3) == 0)
+                {
+                    issued[records.issue({now})] = true;
+                }
+                const auto at =
+                    *rc::gen::inRange<std::size_t>(0, issued.size());
+                const auto sequence =
+                    std::next(issued.begin(), static_cast<std::ptrdiff_t>(at))
+                        ->first;
+                const keyed_send send{
+                    std::to_string(sequence), "s", sequence, 0};
+                if (runs(records.on_issued(sequence, send, {now})))
+                {
+                    RC_ASSERT(running.count(sequence) == 0);
+                    RC_ASSERT(may_have_run.count(sequence) == 0);
+                    running.insert(sequence);
+                }
+                if (running.count(sequence) != 0 &&
+                    *rc::gen::inRange(0, 2) == 0)
                 {
-                    may_have_run.insert(sequence);
+                    running.erase(sequence);
+                    const bool ran = *rc::gen::inRange(0, 3) != 0;
+                    if (ran)
+                    {
+                        may_have_run.insert(sequence);
+                    }
+                    records.finish(
+                        send,
+                        make_answer(
+                            ran ? base::verdict::ran : base::verdict::not_run));
                 }
-                records.finish(
-                    send,
-                    make_answer(
-                        ran ? base::verdict::ran : base::verdict::not_run));
             }
-        }
-        RC_ASSERT(records.size() <= 5U);
-    });
+            RC_ASSERT(records.size() <= 5U);
+        });
     CHECK(held);
 }
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http/http_client.hpp"
 
+#include <asio/dispatch.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -263,11 +264,7 @@
         curl_multi_remove_handle(this->multi, item.handle);
         this->release(item);
         this->transfers.erase(item.id);
-        //! The handler may do long work; the strand serves other transfers.
-        asio::post(
-            this->context,
-            [on_done = std::move(on_done), result = std::move(result)]() mutable
-            { on_done(std::move(result)); });
+        on_done(std::move(result));
     }
 
     void release(transfer& item)
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -68,7 +68,7 @@
         [&](const auto& field) {
             result.headers.push_back({lower(field.name()), field.value()});
         });
-    result.body = std::move(incoming.body());
+    result.body = incoming.body();
     return result;
 }
 
@@ -127,11 +127,9 @@
         request_handler on_request, closed_handler on_closed)
         : server(
               restinio::external_io_context(context),
-              [&](auto& settings)
-              {
+              [&](auto& settings) {
                   this->configure(
-                      settings, limits, std::move(on_request),
-                      std::move(on_closed));
+                      settings, limits, on_request, std::move(on_closed));
               })
     {
     }
@@ -158,7 +156,7 @@
     template <class Settings>
     static void configure(
         Settings& settings, const server_settings& limits,
-        request_handler on_request, closed_handler on_closed)
+        const request_handler& on_request, closed_handler on_closed)
     {
         const std::chrono::milliseconds read_limit(limits.read_timeout.count);
         const auto field_limit =
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -56,7 +56,8 @@
 }
 
 void caller_side::on_request(
-    std::uint64_t connection, http::request request, http::respond respond)
+    std::uint64_t connection, const http::request& request,
+    http::respond respond)
 {
     if (request.target == keys_path && request.method == "POST")
     {
@@ -107,7 +108,8 @@
 void caller_side::refuse_over_budget(const origin_call& call)
 {
     this->tables.note(
-        {0, "budget_exhausted", call.call.root, call.id, call.call.service, ""});
+        {0, "budget_exhausted", call.call.root, call.id, call.call.service,
+         ""});
     this->targets.give_back(call.parent, call.budget.left(), 0);
     call.reply(make_refusal(verdict::not_run, refusal::budget));
 }
@@ -456,7 +458,7 @@
             call.call.remaining_ms = (call.deadline - now).count;
             call.link = 0;
             ++call.dispatches;
-        table.attempts.emplace(attempt, id);
+            table.attempts.emplace(attempt, id);
         });
     if (attempt == 0)
     {
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -21,7 +21,8 @@
 
     //! A request of a caller or of the own backend server.
     void on_request(
-        std::uint64_t connection, http::request request, http::respond respond);
+        std::uint64_t connection, const http::request& request,
+        http::respond respond);
     void on_connection_closed(std::uint64_t connection);
 
     //! A call whose key has its home here.
--- a/src/node/internal/spreader.cpp
+++ b/src/node/internal/spreader.cpp
@@ -134,8 +134,9 @@
         this->tables.routing.with(
             [&](routing_table& table)
             {
-                table.services.try_emplace(
-                    name, own.instance, own.zone, this->tables.variant)
+                table.services
+                    .try_emplace(
+                        name, own.instance, own.zone, this->tables.variant)
                     .first->second.apply(list, now);
             });
     }
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -340,7 +340,7 @@
     auto answer = this->to_answer(result, shed_status);
     if (outcome == http::transfer_outcome::broken)
     {
-        this->probe_after_break(id, std::move(answer));
+        this->probe_after_break(id, answer);
         return;
     }
     if (answer.reason == refusal::backend_down)
@@ -357,7 +357,8 @@
     this->finish(id, std::move(answer), kind, duration);
 }
 
-void target_side::probe_after_break(std::uint64_t id, schema::answer answer)
+void target_side::probe_after_break(
+    std::uint64_t id, const schema::answer& answer)
 {
     this->serving.with(
         [&](serving_table& table)
@@ -645,14 +646,16 @@
 void target_side::give_back(
     std::uint64_t serving, std::uint32_t budget, std::uint32_t dispatches)
 {
-    this->serving.with([&](serving_table& table) {
-        const auto found = table.calls.find(serving);
-        if (found != table.calls.end())
+    this->serving.with(
+        [&](serving_table& table)
         {
-            found->second.budget.give_back(budget);
-            found->second.descendants += dispatches;
-        }
-    });
+            const auto found = table.calls.find(serving);
+            if (found != table.calls.end())
+            {
+                found->second.budget.give_back(budget);
+                found->second.descendants += dispatches;
+            }
+        });
 }
 
 void target_side::on_strike(const schema::strike& strike)
@@ -754,17 +757,19 @@
 std::vector<serving_view> target_side::view()
 {
     const auto now = base::now();
-    return this->serving.with([&](serving_table& table) {
-        std::vector<serving_view> rows;
-        rows.reserve(table.calls.size());
-        for (const auto& [id, call] : table.calls)
+    return this->serving.with(
+        [&](serving_table& table)
         {
-            rows.push_back(
-                {id, call.call.root, call.call.path, to_string(call.state),
-                 call.call.priority, call.call.depth, now - call.arrived});
-        }
-        return rows;
-    });
+            std::vector<serving_view> rows;
+            rows.reserve(table.calls.size());
+            for (const auto& [id, call] : table.calls)
+            {
+                rows.push_back(
+                    {id, call.call.root, call.call.path, to_string(call.state),
+                     call.call.priority, call.call.depth, now - call.arrived});
+            }
+            return rows;
+        });
 }
 
 std::vector<decisions::quarantine_view> target_side::quarantined()
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -143,7 +143,7 @@
     void apply(const decisions::admission_actions& actions);
     void start(std::uint64_t id);
     void on_transfer(std::uint64_t id, http::transfer_result result);
-    void probe_after_break(std::uint64_t id, schema::answer answer);
+    void probe_after_break(std::uint64_t id, const schema::answer& answer);
     void on_backend_death(std::uint64_t id, schema::answer answer);
     void finish(
         std::uint64_t id, schema::answer answer, decisions::completion kind,
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -29,7 +29,8 @@
 {
     schema::service_policy policy;
     policy.routes = {
-        {"*", "/", 5, true, false, true}, {"POST", "/ack", 0, false, false, true}};
+        {"*", "/", 5, true, false, true},
+        {"POST", "/ack", 0, false, false, true}};
     http::request request;
     request.method = "POST";
     request.target = "/ack/7";
@@ -63,9 +64,11 @@
 
 TEST_CASE("wrong answers of the platform name their place")
 {
-    const auto text_of = [](const std::string& body) {
+    const auto text_of = [](const std::string& body)
+    {
         return base::handle(
-            [&]() -> base::result<std::string> {
+            [&]() -> base::result<std::string>
+            {
                 BOOST_LEAF_AUTO(changes, platform::parse_changes(body));
                 return std::to_string(changes.documents.size());
             },
--- a/src/schema/internal/ini_fields.cpp
+++ b/src/schema/internal/ini_fields.cpp
@@ -28,12 +28,11 @@
     catch (const property_tree::ini_parser_error& failure)
     {
         const auto line = failure.line() == 0
-            ? std::string()
-            : ":" + std::to_string(failure.line());
+                              ? std::string()
+                              : ":" + std::to_string(failure.line());
         return base::fail(
-            file + line,
-            failure.message() +
-                ", expected [section], key = value or a comment");
+            file + line, failure.message() +
+                             ", expected [section], key = value or a comment");
     }
     ini_fields fields;
     fields.file = file;
@@ -138,7 +137,8 @@
         {
             return {};
         }
-        names += (names.empty() ? "" : ", ") + item;
+        names += names.empty() ? "" : ", ";
+        names += item;
     }
     return base::fail(
         this->place(section, key),
--- a/src/schema/tests/schema_test.cpp
+++ b/src/schema/tests/schema_test.cpp
@@ -10,7 +10,8 @@
 std::string ticket_error(const std::string& text)
 {
     return base::handle(
-        [&]() -> base::result<std::string> {
+        [&]() -> base::result<std::string>
+        {
             BOOST_LEAF_AUTO(
                 ticket,
                 schema::parse_ticket(nlohmann::json::parse(text), "ticket"));
@@ -26,7 +27,8 @@
         R"({"number":7,"services":[{"name":"a","team":"t","slots":3,
             "routes":[{"path_prefix":"/x","priority":0}]}]})");
     const auto same = base::handle(
-        [&]() -> base::result<bool> {
+        [&]() -> base::result<bool>
+        {
             BOOST_LEAF_AUTO(ticket, schema::parse_ticket(json, "ticket"));
             CHECK(ticket.services[0].retry_budget == 3);
             CHECK_FALSE(ticket.services[0].routes[0].repeatable);
@@ -56,7 +58,6 @@
     CHECK(
         ticket_error(R"({"number":1,"services":[]})") ==
         "ticket.services: expected a list of length 1 to any");
-    CHECK(
-        ticket_error(R"({"number":-1,"services":[]})")
-            .starts_with("ticket.number: expected a whole number"));
+    CHECK(ticket_error(R"({"number":-1,"services":[]})")
+              .starts_with("ticket.number: expected a whole number"));
 }
--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -4,6 +4,7 @@
 #include "transport/message_codec.hpp"
 
 #include <asio/buffer.hpp>
+#include <asio/dispatch.hpp>
 #include <asio/post.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
@@ -72,7 +73,8 @@
 void peer_link::send(frame_kind kind, std::string body, std::uint64_t call)
 {
     auto self = this->shared_from_this();
-    asio::post(
+    //! Runs at once where the strand is free: no hop to another worker.
+    asio::dispatch(
         this->strand,
         [self, message = outgoing{kind, std::move(body), call}]() mutable
         { self->enqueue(std::move(message)); });
--- a/src/transport/tests/transport_test.cpp
+++ b/src/transport/tests/transport_test.cpp
@@ -17,23 +17,20 @@
     const frame_header header{3, 4, 9, 77, 1234, 5678};
     const auto bytes = codec.seal(header, body);
     frame_header read;
-    CHECK(
-        frame_codec::parse_header(bytes, 100, read) == frame_error::none);
+    CHECK(frame_codec::parse_header(bytes, 100, read) == frame_error::none);
     CHECK(read == header);
     CHECK(codec.check(bytes, body) == frame_error::none);
     CHECK(codec.check(bytes, "bodx") == frame_error::bad_tag);
-    CHECK(
-        frame_codec::parse_header(bytes, 3, read) == frame_error::oversize);
+    CHECK(frame_codec::parse_header(bytes, 3, read) == frame_error::oversize);
     CHECK(
         frame_codec("another key").check(bytes, body) == frame_error::bad_tag);
     for (std::size_t i = 0; i < bytes.size(); ++i)
     {
         auto changed = bytes;
         changed[i] = static_cast<char>(changed[i] ^ 1);
-        const bool noticed =
-            frame_codec::parse_header(changed, 100, read) !=
-                frame_error::none ||
-            codec.check(changed, body) != frame_error::none;
+        const bool noticed = frame_codec::parse_header(changed, 100, read) !=
+                                 frame_error::none ||
+                             codec.check(changed, body) != frame_error::none;
         CHECK(noticed);
     }
 }
@@ -46,12 +43,14 @@
     call.struck_by = {"x#1"};
     CHECK(decode<schema::call>(encode(call)) == call);
     CHECK_FALSE(decode<schema::call>(encode(call) + "x"));
-    const bool held = rc::check("cut messages", [&] {
-        const auto whole = encode(call);
-        const auto length =
-            *rc::gen::inRange<std::size_t>(0, whole.size());
-        RC_ASSERT(!decode<schema::call>(whole.substr(0, length)));
-    });
+    const bool held = rc::check(
+        "cut messages",
+        [&]
+        {
+            const auto whole = encode(call);
+            const auto length = *rc::gen::inRange<std::size_t>(0, whole.size());
+            RC_ASSERT(!decode<schema::call>(whole.substr(0, length)));
+        });
     CHECK(held);
 }
 
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -100,7 +100,8 @@
         self.backend = self.spawn(
             [BACKEND, "--instance", self.id, "--port", str(self.backend_port),
              "--node-port", str(self.caller_port), "--slots", str(self.slots),
-             "--queue", str(self.queue), "--record", str(self.record)])
+             "--queue", str(self.queue),
+             *(["--record", str(self.record)] if self.fleet.recording else [])])
 
     def start_node(self):
         file = self.fleet.folder / f"{self.id}.ini"
@@ -146,12 +147,13 @@
 class Fleet:
     """Instances of several services and a platform."""
 
-    def __init__(self, services, settings=None, platform=None):
+    def __init__(self, services, settings=None, platform=None, recording=True):
         """services: name -> dict(targets=3, slots=20, queue=100)."""
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bilberrytally-"))
         self.platform = platform or Platform()
         self.platform_url = f"http://{HOST}:{self.platform.port}"
         self.settings = settings or {}
+        self.recording = recording
         self.seeds = []
         self.versions = collections.Counter()
         self.instances = []
