--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -13,14 +13,14 @@
 constexpr double cold_lowest_share = 0.1;
 constexpr base::duration_ms unreachable_first{100};
 constexpr base::duration_ms unreachable_longest{2000};
-constexpr base::duration_ms ejection_time{1000};
-constexpr base::duration_ms probe_interval{500};
+constexpr base::duration_ms probe_first{500};
+constexpr base::duration_ms probe_longest{4000};
 constexpr base::duration_ms floor_lapse{1000};
 constexpr unsigned floor_probe_one_in = 10;
 constexpr double slow_ratio = 3.0;
 constexpr double slow_minimum_ms = 5.0;
 constexpr std::uint64_t slow_min_samples = 10;
-constexpr std::uint32_t failure_threshold = 5;
+constexpr std::uint32_t failure_threshold = 3;
 constexpr std::size_t ejected_share = 3;
 constexpr double latency_weight = 0.2;
 constexpr double saturation = 1.5;
@@ -78,6 +78,7 @@
         this->targets,
         [&](const auto& entry) { return listed.count(entry.first) == 0; });
     this->list_known = true;
+    this->update_subset();
 }
 
 std::optional<target_address> target_table::choose(
@@ -120,8 +121,9 @@
     std::uint32_t priority, std::mt19937_64& random, base::time_ms now) const
 {
     bool any = false;
-    for (const auto& [id, candidate] : this->targets)
+    for (const auto& id : this->subset)
     {
+        const auto& candidate = this->targets.at(id);
         if (this->state_of(candidate, now) != target_state::available)
         {
             continue;
@@ -142,11 +144,12 @@
     {
         return;
     }
-    ++found->second.in_flight;
-    if (this->state_of(found->second, now) == target_state::ejected)
+    auto& target = found->second;
+    if (target.in_flight == 0)
     {
-        found->second.last_probe = now;
+        target.silent_since = now;
     }
+    ++target.in_flight;
 }
 
 void target_table::on_result(
@@ -160,6 +163,10 @@
     }
     auto& target = found->second;
     target.in_flight -= std::min(target.in_flight, 1U);
+    if (!result.abandoned)
+    {
+        target.silent_since = now;
+    }
     if (result.load.valid)
     {
         target.reported_in_flight = result.load.in_flight;
@@ -297,7 +304,12 @@
     const double others = candidate.reported_in_flight;
     const double limit = std::max(candidate.reported_limit, 1U);
     const double load = 1 + own + others / limit;
-    const double latency = std::max(candidate.latency_ms, 1.0);
+    //! A long silence tells of a slow target before its answers do.
+    const auto silence = candidate.in_flight == 0
+                             ? base::duration_ms{0}
+                             : now - candidate.silent_since;
+    const double latency = std::max(
+        {candidate.latency_ms, static_cast<double>(silence.count), 1.0});
     double share = 1;
     if (candidate.new_comer)
     {
@@ -327,10 +339,14 @@
     std::vector<target*> local;
     std::vector<target*> all;
     bool local_room = false;
-    for (auto& [id, candidate] : this->targets)
+    for (const auto& id : this->subset)
     {
-        const bool usable =
-            this->state_of(candidate, now) == target_state::available;
+        auto& candidate = this->targets.at(id);
+        const auto state = this->state_of(candidate, now);
+        //! A slow target is better than a crowded one.
+        const bool usable = state == target_state::available ||
+                            (state == target_state::ejected &&
+                             !this->others_have_room(candidate, now));
         if (!usable || excluded.count(id) != 0)
         {
             continue;
@@ -342,33 +358,60 @@
             local_room |= !this->is_saturated(candidate, now);
         }
     }
-    auto& pool = local_room ? local : all;
-    this->keep_subset(pool);
-    return pool;
+    return local_room ? local : all;
+}
+
+bool target_table::others_have_room(
+    const target& except, base::time_ms now) const
+{
+    return std::any_of(
+        this->subset.begin(), this->subset.end(),
+        [&](const auto& id)
+        {
+            const auto& other = this->targets.at(id);
+            return &other != &except &&
+                   this->state_of(other, now) == target_state::available &&
+                   !this->is_saturated(other, now);
+        });
+}
+
+void target_table::update_subset()
+{
+    this->subset = this->nearest(true);
+    const auto far = this->nearest(false);
+    this->subset.insert(this->subset.end(), far.begin(), far.end());
 }
 
-void target_table::keep_subset(std::vector<target*>& pool) const
+std::vector<std::string> target_table::nearest(bool own_zone) const
 {
-    if (pool.size() <= subset_size)
+    std::vector<std::pair<std::uint64_t, std::string>> order;
+    for (const auto& [id, candidate] : this->targets)
     {
-        return;
+        const bool usable = !candidate.listed_leaving;
+        if (usable && (candidate.zone == this->zone) == own_zone)
+        {
+            order.emplace_back(base::hash_parts({this->self, id}), id);
+        }
+    }
+    const auto count = std::min(order.size(), subset_size);
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(order.begin(), end, order.end(), std::greater<>());
+    std::vector<std::string> ids;
+    for (auto item = order.begin(); item != end; ++item)
+    {
+        ids.push_back(std::move(item->second));
     }
-    const auto score = [&](const target* item) {
-        return base::hash_parts({this->self, item->address.instance});
-    };
-    std::nth_element(
-        pool.begin(), pool.begin() + subset_size, pool.end(),
-        [&](const target* a, const target* b) { return score(a) > score(b); });
-    pool.resize(subset_size);
+    return ids;
 }
 
 target_table::target* target_table::probe_due(
     const std::set<std::string>& excluded, base::time_ms now)
 {
-    for (auto& [id, candidate] : this->targets)
+    for (const auto& id : this->subset)
     {
+        auto& candidate = this->targets.at(id);
         const bool idle = candidate.in_flight == 0;
-        const bool due = now - candidate.last_probe >= probe_interval;
+        const bool due = now - candidate.last_probe >= candidate.probe_interval;
         const bool ejected =
             this->state_of(candidate, now) == target_state::ejected;
         if (ejected && idle && due && excluded.count(id) == 0)
@@ -398,21 +441,35 @@
     if (!slow && !failing)
     {
         candidate.ejected_until = {INT64_MIN / 2};
+        candidate.probe_interval = {0};
         return;
     }
     const bool was_ejected = candidate.ejected_until > now;
-    const auto allowed = this->targets.size() / ejected_share;
-    if (was_ejected || this->ejected_count(now) < allowed)
+    const auto allowed = this->subset.size() / ejected_share;
+    const bool possible = this->ejected_count(now) < allowed &&
+                          this->others_have_room(candidate, now);
+    if (!was_ejected && !possible)
     {
-        candidate.ejected_until = now + ejection_time;
+        return;
     }
+    //! Each probe that finds it slow still makes the next one later.
+    const bool probed = now - candidate.last_probe >= candidate.probe_interval;
+    if (!was_ejected || probed)
+    {
+        candidate.probe_interval =
+            was_ejected ? std::min(candidate.probe_interval * 2, probe_longest)
+                        : probe_first;
+        candidate.last_probe = now;
+    }
+    candidate.ejected_until = now + candidate.probe_interval * 2;
 }
 
 double target_table::median_latency(const target& except) const
 {
     std::vector<double> values;
-    for (const auto& [id, candidate] : this->targets)
+    for (const auto& id : this->subset)
     {
+        const auto& candidate = this->targets.at(id);
         if (&candidate != &except && candidate.samples > 0)
         {
             values.push_back(candidate.latency_ms);
@@ -431,7 +488,8 @@
 std::size_t target_table::ejected_count(base::time_ms now) const
 {
     return static_cast<std::size_t>(std::count_if(
-        this->targets.begin(), this->targets.end(),
-        [&](const auto& entry) { return entry.second.ejected_until > now; }));
+        this->subset.begin(), this->subset.end(),
+        [&](const auto& id)
+        { return this->targets.at(id).ejected_until > now; }));
 }
 } // namespace bilberrytally::decisions
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -54,6 +54,8 @@
 struct dispatch_result
 {
     bool answered{false};
+    //! Cancelled by the caller's node since it took too long.
+    bool abandoned{false};
     //! The target refused the call before it ran.
     bool refused{false};
     base::duration_ms latency;
@@ -115,12 +117,15 @@
         base::duration_ms unreachable_for{0};
         base::time_ms ejected_until{INT64_MIN / 2};
         base::time_ms last_probe{INT64_MIN / 2};
+        base::duration_ms probe_interval{0};
         base::time_ms floor_until{INT64_MIN / 2};
         std::uint32_t floor{0};
         std::uint32_t in_flight{0};
         std::uint32_t reported_in_flight{0};
         std::uint32_t reported_limit{0};
         std::uint32_t failures{0};
+        //! Start of the present wait for any answer.
+        base::time_ms silent_since;
         std::uint64_t samples{0};
         double latency_ms{0};
         bool new_comer{false};
@@ -131,7 +136,12 @@
     bool is_saturated(const target& candidate, base::time_ms now) const;
     std::vector<target*>
     candidates(const std::set<std::string>& excluded, base::time_ms now);
-    void keep_subset(std::vector<target*>& pool) const;
+    //! Another available target could take more work.
+    bool others_have_room(const target& except, base::time_ms now) const;
+    //! Chooses anew the few targets of the own and of other zones that this
+    //! node connects to.
+    void update_subset();
+    std::vector<std::string> nearest(bool own_zone) const;
     target* probe_due(const std::set<std::string>& excluded, base::time_ms now);
     target* better_of_two(
         std::vector<target*>& pool, std::mt19937_64& random,
@@ -148,6 +158,8 @@
     policy_variant variant;
     std::size_t turn{0};
     bool list_known{false};
+    //! Ids of the targets that choices are made among.
+    std::vector<std::string> subset;
     std::unordered_map<std::string, target> targets;
 };
 } // namespace bilberrytally::decisions
--- /dev/null
+++ b/src/http/tests/http_client_test.cpp
@@ -0,0 +1,142 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "http/http_client.hpp"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+using namespace bilberrytally;
+using asio::ip::tcp;
+
+namespace
+{
+//! Serves connections one after the other as a script says.
+class scripted_server
+{
+public:
+    //! One connection: how many requests it answers before it reads one more
+    //! and closes without an answer.
+    explicit scripted_server(std::vector<int> answers_per_connection)
+        : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0}),
+          worker([this, script = std::move(answers_per_connection)] {
+              for (const int answers : script)
+              {
+                  this->serve(answers);
+              }
+          })
+    {
+    }
+
+    std::uint32_t port() const
+    {
+        return this->acceptor.local_endpoint().port();
+    }
+
+    std::atomic<int> requests{0};
+
+private:
+    void serve(int answers)
+    {
+        tcp::socket socket(this->context);
+        this->acceptor.accept(socket);
+        asio::streambuf buffer;
+        std::error_code error;
+        for (int i = 0; i <= answers; ++i)
+        {
+            const auto length =
+                asio::read_until(socket, buffer, "\r\n\r\n", error);
+            if (error)
+            {
+                return;
+            }
+            buffer.consume(length);
+            ++this->requests;
+            if (i < answers)
+            {
+                const std::string answer =
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                asio::write(socket, asio::buffer(answer), error);
+            }
+        }
+    }
+
+    asio::io_context context;
+    tcp::acceptor acceptor;
+    std::jthread worker;
+};
+
+struct client_runner
+{
+    client_runner()
+        : work(asio::make_work_guard(this->context)),
+          client(http::http_client::make(this->context, {10, 1000, 1000})),
+          worker([this] { this->context.run(); })
+    {
+    }
+
+    ~client_runner()
+    {
+        this->work.reset();
+        this->context.stop();
+    }
+
+    http::transfer_result
+    get(std::uint32_t port, base::duration_ms timeout = {2000})
+    {
+        std::promise<http::transfer_result> done;
+        http::transfer_request request;
+        request.content.method = "GET";
+        request.content.target = "/";
+        request.host = "127.0.0.1";
+        request.port = port;
+        request.timeout = timeout;
+        this->client->start(std::move(request), [&](auto result) {
+            done.set_value(std::move(result));
+        });
+        return done.get_future().get();
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::unique_ptr<http::http_client> client;
+    std::jthread worker;
+};
+} // namespace
+
+TEST_CASE("a request on a reused connection that closes is not sent again")
+{
+    client_runner runner;
+    //! The second connection would serve the library's silent retry.
+    scripted_server server({1, 5});
+    CHECK(
+        runner.get(server.port()).outcome == http::transfer_outcome::answered);
+    CHECK(runner.get(server.port()).outcome == http::transfer_outcome::broken);
+    CHECK(server.requests == 2);
+    CHECK(
+        runner.get(server.port()).outcome == http::transfer_outcome::answered);
+}
+
+TEST_CASE("a refused connection is unsent, silence is a timeout")
+{
+    client_runner runner;
+    std::uint32_t closed_port = 0;
+    {
+        asio::io_context context;
+        tcp::acceptor taken(context, {asio::ip::make_address("127.0.0.1"), 0});
+        closed_port = taken.local_endpoint().port();
+    }
+    CHECK(runner.get(closed_port).outcome == http::transfer_outcome::unsent);
+    asio::io_context context;
+    tcp::acceptor silent(context, {asio::ip::make_address("127.0.0.1"), 0});
+    CHECK(
+        runner.get(silent.local_endpoint().port(), {100}).outcome ==
+        http::transfer_outcome::timed_out);
+}
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -473,6 +473,25 @@
     this->dispatch_remote(id, attempt, *target);
 }
 
+void caller_side::plan_reroute(origin_table& table, const origin_call& call)
+{
+    const bool possible = call.call.repeatable && !call.call.long_work &&
+                          call.route == route_kind::balanced &&
+                          call.dispatches == 1 && call.budget.left() > 0 &&
+                          decisions::is_full(this->tables.variant);
+    if (!possible)
+    {
+        return;
+    }
+    const auto delay = this->tables.routing.with(
+        [&](routing_table& routing)
+        { return routing.delays[call.call.service].delay(); });
+    if (delay)
+    {
+        table.by_reroute.emplace(call.dispatched + *delay, call.attempt);
+    }
+}
+
 void caller_side::refuse_dispatch(std::uint64_t id, schema::refusal reason)
 {
     schema::answer answer;
@@ -631,8 +650,8 @@
             }
             targets.on_result(
                 call.target,
-                {end.answered && !down, refused, now - call.dispatched,
-                 end.answer.load},
+                {end.answered && !down, end.abandoned, refused,
+                 now - call.dispatched, end.answer.load},
                 now);
         });
 }
@@ -896,6 +915,47 @@
 }
 
 void caller_side::tick(base::time_ms now)
+{
+    this->reroute_slow(now);
+    this->give_up_late(now);
+}
+
+void caller_side::reroute_slow(base::time_ms now)
+{
+    std::vector<origin_call> slow;
+    this->origins.with(
+        [&](origin_table& table)
+        {
+            auto& index = table.by_reroute;
+            while (!index.empty() && index.begin()->first <= now)
+            {
+                const auto found = table.attempts.find(index.begin()->second);
+                if (found != table.attempts.end())
+                {
+                    slow.push_back(table.calls.at(found->second));
+                }
+                index.erase(index.begin());
+            }
+        });
+    for (const auto& call : slow)
+    {
+        const bool allowed = this->tables.routing.with(
+            [&](routing_table& table)
+            { return table.retries.tokens(call.call.service) >= 1; });
+        if (!allowed)
+        {
+            continue;
+        }
+        this->tables.note({0, "reroute", call.call.root, call.id, "", ""});
+        this->stop_attempt(call);
+        this->on_attempt_end(
+            call.attempt,
+            {make_refusal(verdict::may_have_run, refusal::timeout), false,
+             true});
+    }
+}
+
+void caller_side::give_up_late(base::time_ms now)
 {
     std::vector<origin_call> late;
     this->origins.with(
@@ -920,8 +980,8 @@
             [&](auto& targets, routing_table&)
             {
                 targets.on_result(
-                    call.target, {false, false, now - call.dispatched, {}},
-                    now);
+                    call.target,
+                    {false, true, false, now - call.dispatched, {}}, now);
             });
     }
 }
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -50,6 +50,8 @@
     {
         schema::answer answer;
         bool answered{false};
+        //! Cancelled here since it took too long.
+        bool abandoned{false};
     };
 
     void refuse_over_budget(const origin_call& call);
@@ -81,6 +83,9 @@
         const decisions::target_address& target);
 
     void on_attempt_end(std::uint64_t attempt, attempt_end end);
+    void plan_reroute(origin_table& table, const origin_call& call);
+    void reroute_slow(base::time_ms now);
+    void give_up_late(base::time_ms now);
     void report_result(const origin_call& call, const attempt_end& end);
     bool may_retry(origin_call& call, const schema::answer& answer);
     void prepare_retry(origin_call& call, const schema::answer& answer);
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -4,6 +4,7 @@
 #include "decisions/document_store.hpp"
 #include "decisions/key_records.hpp"
 #include "decisions/policy_variant.hpp"
+#include "decisions/reroute_delay.hpp"
 #include "decisions/resend_gate.hpp"
 #include "decisions/retry_budget.hpp"
 #include "decisions/target_table.hpp"
@@ -27,6 +28,7 @@
     std::map<std::string, decisions::target_table> services;
     decisions::retry_ratio retries;
     decisions::resend_gate resends;
+    std::map<std::string, decisions::reroute_delay> delays;
     std::mt19937_64 random;
 };
 
--- a/src/node/internal/origin_call.hpp
+++ b/src/node/internal/origin_call.hpp
@@ -71,6 +71,8 @@
     std::unordered_map<std::uint64_t, std::uint64_t> attempts;
     //! When a call without an answer is given up.
     std::multimap<base::time_ms, std::uint64_t> by_deadline;
+    //! When an unanswered attempt is sent elsewhere; ended ones remain.
+    std::multimap<base::time_ms, std::uint64_t> by_reroute;
     std::map<std::uint64_t, std::set<std::uint64_t>> by_connection;
     std::map<std::uint64_t, std::set<std::uint64_t>> by_parent;
     std::map<std::pair<transport::link_id, std::uint64_t>, std::uint64_t>
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -284,7 +284,6 @@
     {
         return;
     }
-    this->tables.note({0, "start", root, id, "", ""});
     const auto number = this->client->start(
         std::move(*transfer), [this, id](http::transfer_result result)
         { this->on_transfer(id, std::move(result)); });
@@ -465,13 +464,7 @@
     {
         this->end_trial(*ended, answer);
     }
-    if (ended->state == phase::running)
-    {
-        this->tables.counts.on_backend_call(
-            static_cast<double>((ended->started - ended->arrived).count) /
-                ms_per_s,
-            static_cast<double>(service_time.count) / ms_per_s);
-    }
+    this->note_served(*ended, id, service_time);
     this->send_answer(*ended, std::move(answer));
     this->apply(actions);
     for (const auto waiting : released)
@@ -480,6 +473,28 @@
     }
 }
 
+void target_side::note_served(
+    const serving_call& call, std::uint64_t id, base::duration_ms service_time)
+{
+    if (call.state != phase::running)
+    {
+        return;
+    }
+    const auto waited = call.started - call.arrived;
+    this->tables.counts.on_backend_call(
+        static_cast<double>(waited.count) / ms_per_s,
+        static_cast<double>(service_time.count) / ms_per_s);
+    const auto timeout = call.deadline - call.arrived;
+    this->tables.events.record(
+        {0, "serve", call.call.root, id, call.call.service,
+         "priority=" + std::to_string(call.call.priority) +
+             " depth=" + std::to_string(call.call.depth) +
+             " timeout_ms=" + std::to_string(timeout.count) +
+             " waited_ms=" + std::to_string(waited.count) +
+             " service_ms=" + std::to_string(service_time.count) +
+             " long=" + (call.call.long_work ? "1" : "0")});
+}
+
 void target_side::end_trial(
     const serving_call& call, const schema::answer& answer)
 {
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -148,6 +148,9 @@
     void finish(
         std::uint64_t id, schema::answer answer, decisions::completion kind,
         base::duration_ms service_time);
+    void note_served(
+        const serving_call& call, std::uint64_t id,
+        base::duration_ms service_time);
     void end_trial(const serving_call& call, const schema::answer& answer);
     void refuse(
         std::uint64_t id, schema::refusal reason,
