--- a/src/http/tests/http_client_test.cpp
+++ b/src/http/tests/http_client_test.cpp
@@ -25,22 +25,43 @@
     //! One connection: how many requests it answers before it reads one more
     //! and closes without an answer.
     explicit scripted_server(std::vector<int> answers_per_connection)
-        : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0}),
-          worker([this, script = std::move(answers_per_connection)] {
-              for (const int answers : script)
+        : connections(answers_per_connection.size()),
+          acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0}),
+          worker(
+              [this, script = std::move(answers_per_connection)]
               {
-                  this->serve(answers);
-              }
-          })
+                  for (const int answers : script)
+                  {
+                      this->serve(answers);
+                  }
+              })
     {
     }
 
+    ~scripted_server()
+    {
+        //! Connections to itself end what is left of the script.
+        this->stopping = true;
+        asio::io_context own;
+        for (std::size_t i = 0; i < this->connections && !this->ended; ++i)
+        {
+            tcp::socket socket(own);
+            std::error_code ignored;
+            socket.connect(this->acceptor.local_endpoint(), ignored);
+        }
+    }
+
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+
     std::uint32_t port() const
     {
         return this->acceptor.local_endpoint().port();
     }
 
     std::atomic<int> requests{0};
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> ended{false};
 
 private:
     void serve(int answers)
@@ -68,6 +89,7 @@
         }
     }
 
+    std::size_t connections;
     asio::io_context context;
     tcp::acceptor acceptor;
     std::jthread worker;
@@ -98,9 +120,9 @@
         request.host = "127.0.0.1";
         request.port = port;
         request.timeout = timeout;
-        this->client->start(std::move(request), [&](auto result) {
-            done.set_value(std::move(result));
-        });
+        this->client->start(
+            std::move(request),
+            [&](auto result) { done.set_value(std::move(result)); });
         return done.get_future().get();
     }
 
@@ -113,9 +135,9 @@
 
 TEST_CASE("a request on a reused connection that closes is not sent again")
 {
-    client_runner runner;
     //! The second connection would serve the library's silent retry.
-    scripted_server server({1, 5});
+    scripted_server server({1, 5, 5});
+    client_runner runner;
     CHECK(
         runner.get(server.port()).outcome == http::transfer_outcome::answered);
     CHECK(runner.get(server.port()).outcome == http::transfer_outcome::broken);
