Release requests that wait for a trial when the trial is refused

Cause: a struck request on trial that admission refused ended its trial without releasing those that waited for it; they stood until their deadline. Found while one removal from the tables was written for both ways of ending a call. Test: system_crash_requests and system_at_most_once pass as before.

--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -2,6 +2,7 @@
 
 #include "base/guarded.hpp"
 #include "http/http_server.hpp"
+#include "node/internal/issued_key.hpp"
 #include "node/internal/node_tables.hpp"
 #include "node/internal/origin_call.hpp"
 #include "node/internal/target_side.hpp"
@@ -70,6 +71,8 @@
     bool resend_allowed(const origin_call& call);
     void route_by_key(origin_call fresh);
     void send_home(origin_call fresh, const decisions::target_address& home);
+    //! Runs a send with a key that this process issued, if it did.
+    void run_issued(origin_call fresh, const issued_key& key);
     void run_at_home(origin_call fresh, std::uint64_t sequence, bool issued);
     void begin(origin_call fresh);
 
--- a/src/node/internal/caller_side_keys.cpp
+++ b/src/node/internal/caller_side_keys.cpp
@@ -28,13 +28,7 @@
             this->send_home(std::move(fresh), {"", issued->host, issued->port});
             return;
         }
-        if (issued->incarnation != this->tables.incarnation)
-        {
-            fresh.reply(
-                make_refusal(verdict::may_have_run, refusal::key_home_gone));
-            return;
-        }
-        this->run_at_home(std::move(fresh), issued->sequence, true);
+        this->run_issued(std::move(fresh), *issued);
         return;
     }
     std::optional<decisions::target_address> home;
@@ -63,6 +57,17 @@
     this->begin(std::move(fresh));
 }
 
+void caller_side::run_issued(origin_call fresh, const issued_key& key)
+{
+    if (key.incarnation != this->tables.incarnation)
+    {
+        fresh.reply(
+            make_refusal(verdict::may_have_run, refusal::key_home_gone));
+        return;
+    }
+    this->run_at_home(std::move(fresh), key.sequence, true);
+}
+
 void caller_side::run_at_home(
     origin_call fresh, std::uint64_t sequence, bool issued)
 {
@@ -139,13 +144,7 @@
         fresh.reply(make_refusal(verdict::not_run, refusal::key_unknown));
         return;
     }
-    if (issued->incarnation != this->tables.incarnation)
-    {
-        fresh.reply(
-            make_refusal(verdict::may_have_run, refusal::key_home_gone));
-        return;
-    }
-    this->run_at_home(std::move(fresh), issued->sequence, true);
+    this->run_issued(std::move(fresh), *issued);
 }
 
 void caller_side::complete_key(
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -210,32 +210,52 @@
     }
 }
 
+std::optional<target_side::removed_call>
+target_side::remove(serving_table& table, std::uint64_t id)
+{
+    const auto found = table.calls.find(id);
+    if (found == table.calls.end())
+    {
+        return std::nullopt;
+    }
+    removed_call removed{std::move(found->second), {}};
+    table.calls.erase(found);
+    table.by_remote.erase({removed.call.link, removed.call.call.id});
+    if (!removed.call.trial)
+    {
+        return removed;
+    }
+    table.quarantine.end_trial(removed.call.call.digest);
+    for (const auto waiting : table.trial_queue)
+    {
+        const auto held = table.calls.find(waiting);
+        if (held != table.calls.end())
+        {
+            held->second.state = phase::waiting;
+            removed.released.push_back(waiting);
+        }
+    }
+    table.trial_queue.clear();
+    return removed;
+}
+
 void target_side::refuse(
     std::uint64_t id, schema::refusal reason, const std::string& detail)
 {
-    std::optional<serving_call> ended;
-    this->serving.with(
-        [&](serving_table& table)
-        {
-            const auto found = table.calls.find(id);
-            if (found == table.calls.end())
-            {
-                return;
-            }
-            ended = std::move(found->second);
-            table.calls.erase(found);
-            table.by_remote.erase({ended->link, ended->call.id});
-            if (ended->trial)
-            {
-                table.quarantine.end_trial(ended->call.digest);
-            }
-        });
-    if (ended)
+    auto removed = this->serving.with([&](serving_table& table)
+                                      { return remove(table, id); });
+    if (!removed)
+    {
+        return;
+    }
+    auto& ended = removed->call;
+    this->tables.note(
+        {0, "refuse", ended.call.root, id, ended.call.service,
+         "reason=" + std::string(schema::to_string(reason)) + detail});
+    this->send_answer(ended, make_refusal(base::verdict::not_run, reason));
+    for (const auto waiting : removed->released)
     {
-        this->tables.note(
-            {0, "refuse", ended->call.root, id, ended->call.service,
-             "reason=" + std::string(schema::to_string(reason)) + detail});
-        this->send_answer(*ended, make_refusal(base::verdict::not_run, reason));
+        this->admit(waiting);
     }
 }
 
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -134,6 +134,15 @@
         }
     };
 
+    //! A call taken out of the tables, and calls that waited for its trial.
+    struct removed_call
+    {
+        serving_call call;
+        std::vector<std::uint64_t> released;
+    };
+
+    static std::optional<removed_call>
+    remove(serving_table& table, std::uint64_t id);
     std::uint64_t add(serving_call fresh);
     void admit(std::uint64_t id);
     std::optional<schema::refusal>
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -223,53 +223,34 @@
 {
     const auto now = base::now();
     decisions::admission_actions actions;
-    std::optional<serving_call> ended;
-    std::vector<std::uint64_t> released;
-    this->serving.with(
+    auto removed = this->serving.with(
         [&](serving_table& table)
         {
-            const auto found = table.calls.find(id);
-            if (found == table.calls.end())
-            {
-                return;
-            }
-            ended = std::move(found->second);
-            table.calls.erase(found);
-            table.by_remote.erase({ended->link, ended->call.id});
-            actions = table.admission.finish(id, kind, service_time, now);
-            if (ended->trial)
+            auto result = remove(table, id);
+            if (result)
             {
-                table.quarantine.end_trial(ended->call.digest);
-                released.assign(
-                    table.trial_queue.begin(), table.trial_queue.end());
-                table.trial_queue.clear();
-                for (const auto waiting : released)
-                {
-                    const auto held = table.calls.find(waiting);
-                    if (held != table.calls.end())
-                    {
-                        held->second.state = phase::waiting;
-                    }
-                }
+                actions = table.admission.finish(id, kind, service_time, now);
             }
+            return result;
         });
-    if (!ended)
+    if (!removed)
     {
         this->tables.counts.on_event("late_backend_answer");
         return;
     }
+    auto& ended = removed->call;
     if (answer.reason != refusal::none)
     {
         this->cancel_children(id);
     }
-    if (ended->trial)
+    if (ended.trial)
     {
-        this->end_trial(*ended, answer);
+        this->end_trial(ended, answer);
     }
-    this->note_served(*ended, id, service_time);
-    this->send_answer(*ended, std::move(answer));
+    this->note_served(ended, id, service_time);
+    this->send_answer(ended, std::move(answer));
     this->apply(actions);
-    for (const auto waiting : released)
+    for (const auto waiting : removed->released)
     {
         this->admit(waiting);
     }
