--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -92,14 +92,20 @@
         lines.append(" ".join(f"{v:.3f}" for v in [i / 10, *means]))
     data = folder / "recovery.dat"
     data.write_text("\n".join(lines) + "\n")
-    curves = ", ".join(f"'{data.name}' using 1:{i + 2} with lines lw 2 title '{n}'"
+    curves = ", ".join(f"'{data.name}' using 1:{i + 2} with lines lw 2 title '{n.replace('_', ' ')}'"
                        for i, n in enumerate(names))
     script = ("set terminal png size 800,400; set output 'recovery.png'; set yrange [0:1.5];"
               "set xlabel 'seconds; the deep service is slow and demand high from 1 to 3';"
-              "set ylabel 'good answers per request sent'; set noenhanced; plot " + curves)
+              "set ylabel 'good answers per request sent'; plot " + curves)
     subprocess.run(["gnuplot", "-e", script], cwd=folder, check=True)
 
 
+def plot_again():
+    """Draws the plot from the data file of the last run."""
+    rows = [line.split() for line in (ROOT / "docs/plots/recovery.dat").read_text().splitlines()]
+    plot({n: [[float(r[i + 1]) for r in rows]] for i, n in enumerate(VARIANTS)})
+
+
 def main():
     seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 5
     results = collections.defaultdict(lambda: collections.defaultdict(list))
--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace bilberrytally::decisions
 {
@@ -24,6 +25,9 @@
 constexpr std::size_t ejected_share = 3;
 constexpr double latency_weight = 0.2;
 constexpr double saturation = 1.5;
+//! The own zone is left where its best target costs more than this many
+//! times the best of all.
+constexpr double zone_preference = 3.0;
 constexpr std::uint32_t no_floor = 255;
 } // namespace
 
@@ -358,7 +362,21 @@
             local_room |= !this->is_saturated(candidate, now);
         }
     }
-    return local_room ? local : all;
+    const bool stay =
+        local_room && this->lowest_cost(local, now) <=
+                          zone_preference * this->lowest_cost(all, now);
+    return stay ? local : all;
+}
+
+double target_table::lowest_cost(
+    const std::vector<target*>& pool, base::time_ms now) const
+{
+    double lowest = std::numeric_limits<double>::max();
+    for (const auto* candidate : pool)
+    {
+        lowest = std::min(lowest, this->cost(*candidate, now));
+    }
+    return lowest;
 }
 
 bool target_table::others_have_room(
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -136,6 +136,8 @@
     bool is_saturated(const target& candidate, base::time_ms now) const;
     std::vector<target*>
     candidates(const std::set<std::string>& excluded, base::time_ms now);
+    double
+    lowest_cost(const std::vector<target*>& pool, base::time_ms now) const;
     //! Another available target could take more work.
     bool others_have_room(const target& except, base::time_ms now) const;
     //! Chooses anew the few targets of the own and of other zones that this
--- a/src/decisions/tests/routing_test.cpp
+++ b/src/decisions/tests/routing_test.cpp
@@ -105,6 +105,22 @@
     }
 }
 
+TEST_CASE("a slow target of the own zone is left for another zone")
+{
+    target_table table("x", "a");
+    table.apply(make_list(2), {0});
+    for (int i = 0; i < 20; ++i)
+    {
+        for (const auto* id : {"i0", "i1"})
+        {
+            const base::duration_ms latency{id[1] == '0' ? 200 : 20};
+            table.on_dispatch(id, {i});
+            table.on_result(id, {true, false, false, latency, {}}, {i});
+        }
+    }
+    CHECK(choose_many(table, 100, {21})["i1"] > 60);
+}
+
 TEST_CASE("a list never brings back a target that denies work")
 {
     target_table table("x", "a");
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -26,7 +26,6 @@
 {
     return reason == refusal::overload || reason == refusal::shed_by_backend;
 }
-
 } // namespace
 
 caller_side::caller_side(node_tables& tables, target_side& targets)
--- a/src/node/internal/http_mapping.cpp
+++ b/src/node/internal/http_mapping.cpp
@@ -93,6 +93,12 @@
     return whole ? std::optional(id) : std::nullopt;
 }
 
+std::string trace_parent_for(std::uint64_t root, std::uint64_t call)
+{
+    return "00-" + base::to_hex(base::combine(root, 0)) + base::to_hex(root) +
+           "-" + base::to_hex(call) + "-01";
+}
+
 std::string trace_state_for(std::uint64_t call, std::string_view present)
 {
     std::string state(trace_member);
--- a/src/node/internal/http_mapping.hpp
+++ b/src/node/internal/http_mapping.hpp
@@ -40,6 +40,9 @@
 //! Call id in tracestate; nothing where absent or wrong.
 std::optional<std::uint64_t> call_of_trace(const http::header_list& headers);
 
+//! traceparent for a call whose caller gave none (W3C).
+std::string trace_parent_for(std::uint64_t root, std::uint64_t call);
+
 //! tracestate with the member for a call put first.
 std::string trace_state_for(std::uint64_t call, std::string_view present);
 
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -33,11 +33,11 @@
     headers.push_back({"Host", call.call.service});
     headers.push_back(
         {std::string(timeout_header), std::to_string(remaining.count)});
-    if (!call.call.trace_parent.empty())
-    {
-        headers.push_back(
-            {std::string(trace_parent_header), call.call.trace_parent});
-    }
+    //! Tracing libraries pass tracestate on only beside a traceparent.
+    headers.push_back(
+        {std::string(trace_parent_header),
+         call.call.trace_parent.empty() ? trace_parent_for(call.call.root, id)
+                                        : call.call.trace_parent});
     headers.push_back(
         {std::string(trace_state_header),
          trace_state_for(id, call.call.trace_state)});
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -46,6 +46,9 @@
     const auto state = trace_state_for(255, "a=1,bilberrytally=00,b=2");
     CHECK(state == "bilberrytally=00000000000000ff,a=1,b=2");
     CHECK(call_of_trace({{"tracestate", state}}) == 255);
+    const auto parent = trace_parent_for(1, 255);
+    CHECK(parent.size() == 55);
+    CHECK(parent.ends_with("-00000000000000ff-01"));
     CHECK_FALSE(call_of_trace({{"tracestate", "a=1"}}));
     CHECK_FALSE(call_of_trace({{"tracestate", "bilberrytally=zz"}}));
 }
--- a/src/replay/internal/replayer.cpp
+++ b/src/replay/internal/replayer.cpp
@@ -42,6 +42,11 @@
 //! time as it has slots and queues the others.
 struct target_state
 {
+    target_state(std::uint32_t slots, const decisions::policy_variant& variant)
+        : admission(slots, variant)
+    {
+    }
+
     decisions::admission admission;
     std::deque<std::uint64_t> backend_queue;
     std::set<std::uint64_t> in_slot;
@@ -81,11 +86,10 @@
             const auto id = "t" + std::to_string(i);
             list.instances.push_back(
                 {id, "zone", "127.0.0.1", i + 1, schema::instance_state::live});
-            auto& target = this->targets
-                               .emplace(
-                                   id, target_state{decisions::admission(
-                                           recorded.policy.slots, variant)})
-                               .first->second;
+            auto& target =
+                this->targets
+                    .emplace(id, target_state(recorded.policy.slots, variant))
+                    .first->second;
             target.admission.apply(recorded.policy);
         }
         this->table.apply(list, {0});
--- a/src/schema/settings.hpp
+++ b/src/schema/settings.hpp
@@ -70,8 +70,8 @@
         std::uint32_t read_timeout_ms{15000};
         //! Largest answer body.
         std::uint32_t max_answer_bytes{33554432};
-        //! Bodies held in memory at one time.
-        std::uint32_t max_held_bytes{134217728};
+        //! Bodies of answers held in memory at one time.
+        std::uint32_t max_held_bytes{67108864};
 
         bool operator==(const caller_section&) const = default;
     };
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -166,11 +166,15 @@
         self.seeds = [i.node_port for i in self.instances[:3]]
 
     def __enter__(self):
-        for instance in self.instances:
-            instance.start_backend()
-            instance.start_node()
-        for instance in self.instances:
-            wait_for(instance.ready, 30, instance.id)
+        try:
+            for instance in self.instances:
+                instance.start_backend()
+                instance.start_node()
+            for instance in self.instances:
+                wait_for(instance.ready, 30, instance.id)
+        except BaseException:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *_):
