--- a/src/benchmarks/decisions_benchmark.cpp
+++ b/src/benchmarks/decisions_benchmark.cpp
@@ -83,8 +83,7 @@
     {
         const auto chosen = table.choose({}, random, {1});
         table.on_dispatch(chosen->instance, {1});
-        table.on_result(
-            chosen->instance, {true, false, false, {1}, {}}, {2});
+        table.on_result(chosen->instance, {true, false, false, {1}, {}}, {2});
     }
 }
 
@@ -93,7 +92,8 @@
     key_records records(static_cast<std::size_t>(state.range(0)), lifetime);
     schema::answer answer;
     std::uint64_t i = 0;
-    const auto run_one = [&] {
+    const auto run_one = [&]
+    {
         const keyed_send send{"key-" + std::to_string(++i), "service", i, 1};
         records.on_own(send, {1});
         records.finish(send, answer);
