--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -183,7 +183,7 @@
     return [this, respond = std::move(respond), digest = call.call.digest,
             service = call.call.service, priority = call.call.priority,
             started = call.started,
-            wants_key = !call.call.key.empty()](schema::answer answer)
+            wants_key = !call.call.key.empty()](const schema::answer& answer)
     {
         const auto now = base::now();
         base::duration_ms retry_after{1000};
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -74,11 +74,10 @@
             http::http_server::open(
                 this->context, server,
                 [this](
-                    std::uint64_t connection, http::request request,
-                    http::respond respond)
-                {
+                    std::uint64_t connection, const http::request& request,
+                    http::respond respond) {
                     this->callers.on_request(
-                        connection, std::move(request), std::move(respond));
+                        connection, request, std::move(respond));
                 },
                 [this](std::uint64_t connection)
                 { this->callers.on_connection_closed(connection); }));
