--- a/src/apps/node_main.cpp
+++ b/src/apps/node_main.cpp
@@ -1,6 +1,7 @@
 #include "apps/command_line.hpp"
 #include "apps/structured_log.hpp"
 #include "node/node.hpp"
+#include "platform/adapter.hpp"
 #include "schema/settings.hpp"
 
 #include <iostream>
@@ -31,7 +32,7 @@
     }
     const app::structured_log log(
         argv[0], settings.log.level, settings.log.flush_s);
-    BOOST_LEAF_AUTO(node, node::node::start(settings));
+    BOOST_LEAF_AUTO(node, node::node::start(settings, users_platform::make_adapter()));
     LOG(INFO) << "event=started instance=" << settings.node.instance;
     return node->run();
 }
--- a/src/platform/platform_client.hpp
+++ b/src/configuration/configuration_client.hpp
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace bilberrytally::platform
+namespace bilberrytally::configuration
 {
 //! Answer of the configuration service to a read.
 struct change_set
@@ -42,11 +42,11 @@
 
 //! Reads the configuration service over HTTP; nothing is ever written.
 //! Another protocol is supported by replacing this module.
-class platform_client
+class configuration_client
 {
 public:
     //! \p url is http://IP:port.
-    static base::result<std::unique_ptr<platform_client>> make(
+    static base::result<std::unique_ptr<configuration_client>> make(
         asio::io_context& context, const std::string& url,
         base::duration_ms timeout);
 
@@ -54,11 +54,11 @@
     void read(std::uint64_t index, base::duration_ms wait, on_changes done);
 
 private:
-    platform_client() = default;
+    configuration_client() = default;
 
     std::unique_ptr<http::http_client> client;
     std::string host;
     std::uint32_t port{0};
     base::duration_ms timeout;
 };
-} // namespace bilberrytally::platform
+} // namespace bilberrytally::configuration
--- a/src/platform/internal/platform_client.cpp
+++ b/src/configuration/internal/configuration_client.cpp
@@ -1,11 +1,11 @@
-#include "platform/platform_client.hpp"
+#include "configuration/configuration_client.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <charconv>
 #include <utility>
 
-namespace bilberrytally::platform
+namespace bilberrytally::configuration
 {
 namespace
 {
@@ -61,7 +61,7 @@
     return changes;
 }
 
-base::result<std::unique_ptr<platform_client>> platform_client::make(
+base::result<std::unique_ptr<configuration_client>> configuration_client::make(
     asio::io_context& context, const std::string& url,
     base::duration_ms timeout)
 {
@@ -78,7 +78,7 @@
     {
         return base::fail("[platform] url", "expected http://IP:port");
     }
-    std::unique_ptr<platform_client> client(new platform_client);
+    std::unique_ptr<configuration_client> client(new configuration_client);
     client->host = url.substr(scheme.size(), colon - scheme.size());
     client->port = port;
     client->timeout = timeout;
@@ -87,7 +87,7 @@
     return client;
 }
 
-void platform_client::read(
+void configuration_client::read(
     std::uint64_t index, base::duration_ms wait, on_changes done)
 {
     http::transfer_request request;
@@ -103,4 +103,4 @@
         [done = std::move(done)](const http::transfer_result& result)
         { done(to_outcome(result)); });
 }
-} // namespace bilberrytally::platform
+} // namespace bilberrytally::configuration
--- /dev/null
+++ b/src/directory/internal/store_watcher.cpp
@@ -0,0 +1,168 @@
+#include "directory/store_watcher.hpp"
+
+#include <algorithm>
+
+namespace bilberrytally::directory
+{
+namespace
+{
+constexpr std::int64_t first_backoff_ms = 100;
+constexpr std::int64_t longest_backoff_ms = 800;
+constexpr std::uint32_t most_doublings = 3;
+} // namespace
+
+std::string_view to_string(store_failure failure)
+{
+    switch (failure)
+    {
+    case store_failure::history_gone:
+        return "history_gone";
+    case store_failure::refused:
+        return "refused";
+    case store_failure::unavailable:
+        return "unavailable";
+    case store_failure::unreadable:
+        return "unreadable";
+    }
+    return "unknown";
+}
+
+store_watcher::store_watcher(
+    std::unique_ptr<store_client> client, watcher_events events,
+    std::uint64_t seed)
+    : client(std::move(client)), events(std::move(events)), random(seed)
+{
+}
+
+void store_watcher::tick(base::time_ms now, base::duration_ms wait)
+{
+    if (this->reading || now < this->next_read)
+    {
+        return;
+    }
+    this->reading = true;
+    ++this->read_count;
+    if (this->snapshot_due)
+    {
+        this->client->read(
+            this->page_after,
+            [this](const store_result& result) { this->on_page(result); });
+        return;
+    }
+    this->client->watch(
+        this->revision, wait,
+        [this](const store_result& result) { this->on_changes(result); });
+}
+
+void store_watcher::restart()
+{
+    this->snapshot_due = true;
+    this->page_after.clear();
+    this->snapshot_keys.clear();
+    this->next_read = {INT64_MIN / 2};
+}
+
+void store_watcher::on_page(const store_result& result)
+{
+    this->reading = false;
+    const auto* page = std::get_if<store_page>(&result);
+    if (page == nullptr)
+    {
+        this->on_failure(std::get<store_error>(result));
+        return;
+    }
+    this->on_success(base::now());
+    if (this->page_after.empty())
+    {
+        //! Pages are read one after the other: changes between them are seen
+        //! by the watch that starts where the first page was.
+        this->snapshot_revision = page->revision;
+        this->snapshot_keys.clear();
+    }
+    for (const auto& item : page->items)
+    {
+        this->snapshot_keys.push_back(item.key);
+        this->events.on_item(item);
+    }
+    if (page->more && !page->items.empty())
+    {
+        this->page_after = page->items.back().key;
+        return;
+    }
+    this->page_after.clear();
+    this->snapshot_due = false;
+    this->revision = this->snapshot_revision;
+    this->events.on_snapshot(this->snapshot_keys, this->snapshot_revision);
+    this->snapshot_keys.clear();
+}
+
+void store_watcher::on_changes(const store_result& result)
+{
+    this->reading = false;
+    const auto* changes = std::get_if<store_page>(&result);
+    if (changes == nullptr)
+    {
+        const auto& error = std::get<store_error>(result);
+        if (error.failure == store_failure::history_gone)
+        {
+            this->on_success(base::now());
+            this->restart();
+            return;
+        }
+        this->on_failure(error);
+        return;
+    }
+    this->on_success(base::now());
+    for (const auto& item : changes->items)
+    {
+        this->events.on_item(item);
+    }
+    if (!this->snapshot_due)
+    {
+        this->revision = std::max(this->revision, changes->revision);
+    }
+}
+
+void store_watcher::on_success(base::time_ms now)
+{
+    if (this->lost)
+    {
+        this->events.on_regained(now - this->answered);
+    }
+    this->lost = false;
+    this->failures = 0;
+    this->answered = now;
+}
+
+void store_watcher::on_failure(const store_error& error)
+{
+    if (!this->lost)
+    {
+        this->events.on_lost(error);
+    }
+    this->lost = true;
+    this->page_after.clear();
+    this->snapshot_keys.clear();
+    const auto doublings = std::min(this->failures, most_doublings);
+    const auto span = std::min(first_backoff_ms << doublings, longest_backoff_ms);
+    ++this->failures;
+    const auto jitter = static_cast<std::int64_t>(
+        this->random() % static_cast<std::uint64_t>(span));
+    this->next_read = base::now() + base::duration_ms{span / 2 + jitter};
+}
+
+bool store_watcher::is_lost() const
+{
+    return this->lost;
+}
+
+std::uint64_t store_watcher::reads() const
+{
+    return this->read_count;
+}
+
+base::time_ms store_watcher::last_answer() const
+{
+    return this->answered;
+}
+} // namespace bilberrytally::directory
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -42,6 +42,11 @@
     std::uint64_t connection, const http::request& request,
     http::respond respond)
 {
+    if (this->tables.names)
+    {
+        this->on_routed_request(connection, request, std::move(respond));
+        return;
+    }
     if (request.target == keys_path && request.method == "POST")
     {
         this->issue_key(respond);
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/guarded.hpp"
+#include "directory/route_map.hpp"
 #include "http/http_server.hpp"
 #include "node/internal/issued_key.hpp"
 #include "node/internal/node_tables.hpp"
@@ -68,6 +69,16 @@
         const schema::route_policy& route);
     answer_handler
     make_http_reply(const origin_call& call, http::respond respond);
+    void on_routed_request(
+        std::uint64_t connection, const http::request& request,
+        http::respond respond);
+    origin_call make_routed_call(
+        std::uint64_t connection, const http::request& request,
+        const directory::route_choice& choice);
+    answer_handler
+    make_routed_reply(const origin_call& call, http::respond respond);
+    //! When a refused caller is to come back.
+    static base::duration_ms retry_after();
     bool resend_allowed(const origin_call& call);
     void route_by_key(origin_call fresh);
     void send_home(origin_call fresh, const decisions::target_address& home);
@@ -77,6 +88,7 @@
     void begin(origin_call fresh);
 
     void dispatch(std::uint64_t id);
+    bool is_own(const decisions::target_address& target) const;
     std::optional<decisions::target_address>
     choose_target(const origin_call& call, schema::refusal& reason);
     void refuse_dispatch(std::uint64_t id, schema::refusal reason);
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -78,6 +78,10 @@
             call.dispatched = now;
             call.handed_budget = call.budget.take_for_dispatch();
             call.call.id = attempt;
+            if (this->tables.names)
+            {
+                call.call.expected_instance = target->instance;
+            }
             call.call.budget = call.handed_budget;
             call.call.remaining_ms = (call.deadline - now).count;
             call.link = 0;
@@ -90,7 +94,7 @@
         this->refuse_dispatch(id, reason);
         return;
     }
-    if (target->instance == this->tables.settings.node.instance)
+    if (this->is_own(*target))
     {
         this->dispatch_local(id, attempt);
         return;
@@ -98,6 +102,12 @@
     this->dispatch_remote(id, attempt, *target);
 }
 
+bool caller_side::is_own(const decisions::target_address& target) const
+{
+    const auto& own = this->tables.settings.node;
+    return target.host == own.address && target.port == own.node_port;
+}
+
 void caller_side::plan_reroute(origin_table& table, const origin_call& call)
 {
     const bool possible = call.call.repeatable && !call.call.long_work &&
--- /dev/null
+++ b/src/node/internal/caller_side_routed.cpp
@@ -0,0 +1,114 @@
+#include "base/hash.hpp"
+#include "node/internal/caller_side.hpp"
+#include "node/internal/http_mapping.hpp"
+
+#include <algorithm>
+
+//! The part of caller_side for fleets whose routes a store publishes.
+namespace bilberrytally::node
+{
+namespace
+{
+using base::verdict;
+using schema::refusal;
+
+constexpr std::uint32_t not_found_status = 404;
+constexpr std::uint64_t max_timeout_ms = 3600000;
+constexpr double ms_per_s = 1000;
+constexpr base::duration_ms no_routes_retry_after{500};
+} // namespace
+
+void caller_side::on_routed_request(
+    std::uint64_t connection, const http::request& request,
+    http::respond respond)
+{
+    const auto host = http::find_header(request.headers, "host");
+    std::size_t known = 0;
+    const auto choice = this->tables.routes.with(
+        [&](directory::route_map& routes)
+        {
+            known = routes.size();
+            return routes.choose(host, request.target);
+        });
+    if (known == 0)
+    {
+        this->tables.counts.on_event("no_routes");
+        respond(to_routed_response(
+            make_refusal(verdict::not_run, refusal::no_target),
+            no_routes_retry_after));
+        return;
+    }
+    if (!choice.way)
+    {
+        this->tables.note(
+            {0, "no_route", 0, 0, std::string(host), "path=" + request.target});
+        http::response answer;
+        answer.status = not_found_status;
+        answer.close = this->tables.draining;
+        respond(std::move(answer));
+        return;
+    }
+    auto fresh = this->make_routed_call(connection, request, choice);
+    fresh.reply = this->make_routed_reply(fresh, std::move(respond));
+    this->begin(std::move(fresh));
+}
+
+origin_call caller_side::make_routed_call(
+    std::uint64_t connection, const http::request& request,
+    const directory::route_choice& choice)
+{
+    const auto& names = *this->tables.names;
+    const auto& way = *choice.way;
+    origin_call fresh;
+    fresh.id = base::random_bits();
+    fresh.connection = connection;
+    fresh.started = base::now();
+    const auto named = number_header(request.headers, names.timeout);
+    const base::duration_ms timeout{static_cast<std::int64_t>(
+        std::min(named.value_or(max_timeout_ms), max_timeout_ms))};
+    const auto bound =
+        way.timeout.count > 0 ? std::min(timeout, way.timeout) : timeout;
+    fresh.deadline =
+        fresh.started + bound - this->tables.freezes.charge(fresh.started);
+    fresh.budget = decisions::retry_budget(std::max(way.max_attempts, 1U) - 1);
+    auto& call = fresh.call;
+    call.service = choice.service;
+    call.method = request.method;
+    call.path = request.target;
+    call.headers = routed_headers(request.headers, names);
+    call.headers.push_back(
+        {names.caller_service, this->tables.settings.node.service});
+    call.body = request.body;
+    call.digest =
+        base::hash_parts({call.service, call.method, call.path, call.body});
+    call.repeatable = way.repeatable;
+    call.root = fresh.id;
+    call.priority = way.priority;
+    return fresh;
+}
+
+answer_handler
+caller_side::make_routed_reply(const origin_call& call, http::respond respond)
+{
+    return [this, respond = std::move(respond), service = call.call.service,
+            priority = call.call.priority,
+            started = call.started](const schema::answer& answer)
+    {
+        const auto now = base::now();
+        auto response = to_routed_response(answer, this->retry_after());
+        response.close = this->tables.draining;
+        this->tables.counts.on_request(
+            service, verdict_of(answer), answer.reason, priority,
+            static_cast<double>((now - started).count) / ms_per_s);
+        respond(std::move(response));
+    };
+}
+
+base::duration_ms caller_side::retry_after()
+{
+    constexpr std::uint64_t shortest_ms = 300;
+    constexpr std::uint64_t spread_ms = 700;
+    const auto jitter = base::random_bits() % spread_ms;
+    return {static_cast<std::int64_t>(shortest_ms + jitter)};
+}
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/internal/directory_follower.cpp
@@ -0,0 +1,236 @@
+#include "node/internal/directory_follower.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+
+namespace bilberrytally::node
+{
+namespace
+{
+constexpr base::duration_ms shortest_watch{2500};
+constexpr base::duration_ms longest_watch{30000};
+//! Share of the store's rate that waiting watches may take.
+constexpr std::uint64_t watch_share = 4;
+constexpr std::int64_t ms_per_s = 1000;
+constexpr std::uint32_t queue_limit_ms = 2000;
+} // namespace
+
+directory_follower::directory_follower(
+    node_tables& tables, const platform_adapter& adapter,
+    std::unique_ptr<directory::store_client> store,
+    std::function<void(const schema::service_policy&)> on_own_policy)
+    : tables(tables), on_own_policy(std::move(on_own_policy)),
+      state(follow_state{
+          directory::fleet_view(
+              adapter.decode, {tables.settings.platform.removal_hold_ms}),
+          nullptr, false})
+{
+    this->state.with(
+        [&](follow_state& state)
+        {
+            state.watcher = std::make_unique<directory::store_watcher>(
+                std::move(store), this->make_events(), tables.incarnation);
+        });
+}
+
+void directory_follower::attach(transport::peer_network& network)
+{
+    this->network = &network;
+}
+
+directory::watcher_events directory_follower::make_events()
+{
+    directory::watcher_events events;
+    events.on_item = [this](const auto& item) { this->on_item(item); };
+    events.on_snapshot = [this](const auto& keys, std::uint64_t revision)
+    {
+        const auto change = this->state.with(
+            [&](follow_state& state)
+            {
+                state.snapshot_known = true;
+                return state.view.end_snapshot(keys, revision, base::now());
+            });
+        this->tables.note(
+            {0, "store_snapshot", 0, 0, "",
+             "revision=" + std::to_string(revision) +
+                 " items=" + std::to_string(keys.size())});
+        this->apply(change);
+    };
+    events.on_lost = [this](const directory::store_error& error)
+    {
+        this->tables.note(
+            {0, "store_lost", 0, 0, "",
+             "reason=" + std::string(directory::to_string(error.failure)) +
+                 " detail=\"" + error.detail + "\""});
+    };
+    events.on_regained = [this](base::duration_ms silent)
+    {
+        this->state.with([](follow_state& state)
+                         { state.view.on_store_regained(base::now()); });
+        this->tables.note(
+            {0, "store_regained", 0, 0, "",
+             "silent_ms=" + std::to_string(silent.count)});
+    };
+    return events;
+}
+
+void directory_follower::on_item(const schema::published_item& item)
+{
+    const auto change = this->state.with(
+        [&](follow_state& state)
+        { return state.view.merge(item, base::now()); });
+    if (!change.problem.empty())
+    {
+        this->tables.note(
+            {0, "item_ignored", 0, 0, "", "problem=\"" + change.problem + "\""});
+    }
+    this->apply(change);
+}
+
+void directory_follower::on_items(
+    const std::vector<schema::published_item>& items)
+{
+    for (const auto& item : items)
+    {
+        this->on_item(item);
+    }
+}
+
+void directory_follower::apply(const directory::view_change& change)
+{
+    if (change.configuration)
+    {
+        this->apply_configuration();
+    }
+    for (const auto& service : change.services)
+    {
+        this->apply_targets(service);
+    }
+    if (change.configuration || !change.services.empty())
+    {
+        this->apply_own_policy();
+    }
+}
+
+void directory_follower::apply_configuration()
+{
+    const auto configuration = this->state.with(
+        [](follow_state& state) { return *state.view.configuration(); });
+    this->tables.routes.with(
+        [&](directory::route_map& routes)
+        { routes.replace(configuration.routes, this->tables.incarnation); });
+    this->tables.note(
+        {0, "configuration", 0, 0, "",
+         "version=" + std::to_string(configuration.version) +
+             " routes=" + std::to_string(configuration.routes.size())});
+}
+
+void directory_follower::apply_targets(const std::string& service)
+{
+    const auto now = base::now();
+    const auto& own = this->tables.settings.node;
+    schema::instance_list list;
+    list.service = service;
+    const auto targets = this->state.with(
+        [&](follow_state& state) { return state.view.targets(service); });
+    std::string names;
+    for (const auto& target : targets)
+    {
+        const bool leaving = target.phase == directory::target_phase::draining;
+        list.instances.push_back(
+            {target.instance, target.zone, target.host, own.node_port,
+             leaving ? schema::instance_state::leaving
+                     : schema::instance_state::live});
+        names += (names.empty() ? "" : ",") + target.instance +
+                 (leaving ? ":leaving" : "");
+    }
+    this->tables.routing.with(
+        [&](routing_table& table)
+        {
+            table.services
+                .try_emplace(
+                    service, own.instance, own.zone, this->tables.variant)
+                .first->second.apply(list, now);
+        });
+    this->tables.note({0, "targets", 0, 0, service, "list=" + names});
+}
+
+void directory_follower::apply_own_policy()
+{
+    const auto& own = this->tables.settings;
+    schema::service_policy policy;
+    policy.name = own.node.service;
+    policy.slots = own.node.slots;
+    policy.shed_status = 0;
+    policy.max_wait_ms = queue_limit_ms;
+    this->state.with(
+        [&](follow_state& state)
+        {
+            for (const auto& target : state.view.targets(own.node.service))
+            {
+                if (target.host == own.node.address &&
+                    target.port == own.backend.port)
+                {
+                    policy.slots = std::max(target.slots, 1U);
+                }
+            }
+            if (!state.view.configuration())
+            {
+                return;
+            }
+            for (const auto& service : state.view.configuration()->services)
+            {
+                if (service.name == own.node.service &&
+                    service.max_connections > 0)
+                {
+                    policy.connections = service.max_connections;
+                }
+            }
+        });
+    this->on_own_policy(policy);
+}
+
+base::duration_ms directory_follower::watch_wait(std::size_t nodes) const
+{
+    const auto rate = std::max<std::uint64_t>(
+        this->tables.settings.platform.reads_per_s / watch_share, 1);
+    const auto needed = static_cast<std::int64_t>(
+        nodes * static_cast<std::uint64_t>(ms_per_s) / rate);
+    return std::clamp(
+        base::duration_ms{needed}, shortest_watch, longest_watch);
+}
+
+void directory_follower::tick(base::time_ms now)
+{
+    const auto change = this->state.with(
+        [&](follow_state& state)
+        {
+            const auto nodes = state.view.all_targets().size();
+            state.watcher->tick(now, this->watch_wait(nodes));
+            return state.view.tick(now);
+        });
+    this->apply(change);
+}
+
+void directory_follower::on_woke()
+{
+    this->state.with([](follow_state& state) { state.watcher->restart(); });
+}
+
+bool directory_follower::is_ready()
+{
+    return this->state.with(
+        [](follow_state& state)
+        {
+            return state.view.configuration().has_value() &&
+                   !state.view.services().empty();
+        });
+}
+
+std::uint64_t directory_follower::store_reads()
+{
+    return this->state.with([](follow_state& state)
+                            { return state.watcher->reads(); });
+}
+} // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/internal/directory_follower.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/guarded.hpp"
+#include "directory/fleet_view.hpp"
+#include "directory/store_watcher.hpp"
+#include "node/internal/node_tables.hpp"
+#include "node/platform_adapter.hpp"
+#include "transport/peer_network.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bilberrytally::node
+{
+//! Keeps routes and targets in force as the platform's store publishes them,
+//! read from the store and, where it does not answer, from peers.
+class directory_follower
+{
+public:
+    directory_follower(
+        node_tables& tables, const platform_adapter& adapter,
+        std::unique_ptr<directory::store_client> store,
+        std::function<void(const schema::service_policy&)> on_own_policy);
+
+    void attach(transport::peer_network& network);
+
+    void tick(base::time_ms now);
+    //! This process stood still: what it knows may be old.
+    void on_woke();
+
+    void on_items(const std::vector<schema::published_item>& items);
+
+    //! Routes and targets are known.
+    bool is_ready();
+    std::uint64_t store_reads();
+
+private:
+    struct follow_state
+    {
+        directory::fleet_view view;
+        std::unique_ptr<directory::store_watcher> watcher;
+        bool snapshot_known{false};
+    };
+
+    directory::watcher_events make_events();
+    void on_item(const schema::published_item& item);
+    void apply(const directory::view_change& change);
+    void apply_configuration();
+    void apply_targets(const std::string& service);
+    void apply_own_policy();
+    base::duration_ms watch_wait(std::size_t nodes) const;
+
+    node_tables& tables;
+    std::function<void(const schema::service_policy&)> on_own_policy;
+    transport::peer_network* network{nullptr};
+    base::guarded<follow_state, documents_rank> state;
+};
+} // namespace bilberrytally::node
--- a/src/node/internal/http_mapping.cpp
+++ b/src/node/internal/http_mapping.cpp
@@ -3,15 +3,20 @@
 #include "base/hash.hpp"
 #include "base/verdict.hpp"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 
 namespace bilberrytally::node
 {
 namespace
 {
+constexpr std::uint32_t bad_gateway = 502;
 constexpr std::uint32_t unavailable = 503;
+constexpr std::uint32_t gateway_timeout = 504;
 constexpr std::int64_t ms_per_s = 1000;
 
 bool is_own_header(std::string_view name)
@@ -20,6 +25,33 @@
            name == trace_state_header || name == "host";
 }
 
+//! True for a header that the Connection header names.
+bool is_listed(std::string_view listed, std::string_view name)
+{
+    while (!listed.empty())
+    {
+        const auto comma = listed.find(',');
+        auto item = listed.substr(0, comma);
+        listed = comma == std::string_view::npos ? std::string_view{}
+                                                 : listed.substr(comma + 1);
+        while (item.starts_with(' '))
+        {
+            item.remove_prefix(1);
+        }
+        const bool same =
+            item.size() == name.size() &&
+            std::equal(
+                item.begin(), item.end(), name.begin(),
+                [](unsigned char a, unsigned char b)
+                { return std::tolower(a) == std::tolower(b); });
+        if (same)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 http::response problem_response(
     std::uint32_t status, std::string_view title, std::string_view detail,
     std::string_view verdict, std::string_view reason)
@@ -131,6 +163,56 @@
     return kept;
 }
 
+http::header_list routed_headers(
+    const http::header_list& headers, const directory::dialect& names)
+{
+    const auto listed = http::find_header(headers, "connection");
+    http::header_list kept;
+    for (const auto& header : headers)
+    {
+        const bool own = header.name == names.timeout ||
+                         header.name == names.expected_instance ||
+                         header.name == names.caller_service;
+        if (!own && !http::is_hop_by_hop(header.name) &&
+            !is_listed(listed, header.name))
+        {
+            kept.push_back(header);
+        }
+    }
+    return kept;
+}
+
+http::response to_routed_response(
+    const schema::answer& answer, base::duration_ms retry_after)
+{
+    http::response response;
+    const auto verdict = static_cast<base::verdict>(answer.verdict);
+    if (verdict == base::verdict::ran)
+    {
+        response.status = answer.status;
+        response.body = answer.body;
+        response.headers = end_to_end_headers(answer.headers);
+        return response;
+    }
+    response.headers.push_back({"Content-Type", "text/plain"});
+    response.body = schema::to_string(answer.reason);
+    if (verdict == base::verdict::not_run)
+    {
+        response.status = unavailable;
+        response.headers.push_back(
+            {"Retry-After", fmt::format(
+                                "{:.2f}", static_cast<double>(
+                                              retry_after.count) /
+                                              static_cast<double>(ms_per_s))});
+        return response;
+    }
+    response.status = answer.reason == schema::refusal::timeout ||
+                              answer.reason == schema::refusal::deadline
+                          ? gateway_timeout
+                          : bad_gateway;
+    return response;
+}
+
 std::uint32_t status_of(const schema::answer& answer)
 {
     using schema::refusal;
--- a/src/node/internal/http_mapping.hpp
+++ b/src/node/internal/http_mapping.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "directory/dialect.hpp"
 #include "http/http_types.hpp"
 #include "schema/documents.hpp"
 #include "schema/messages.hpp"
@@ -46,6 +47,15 @@
 //! tracestate with the member for a call put first.
 std::string trace_state_for(std::uint64_t call, std::string_view present);
 
+//! Headers of a request that go on to a target of a platform's fleet.
+http::header_list routed_headers(
+    const http::header_list& headers, const directory::dialect& names);
+
+//! Answer for a caller of a platform's fleet: a served one unchanged, 503 with
+//! Retry-After where the request did not run, 502 or 504 else.
+http::response to_routed_response(
+    const schema::answer& answer, base::duration_ms retry_after);
+
 //! Headers that are passed on to the backend server.
 http::header_list end_to_end_headers(const http::header_list& headers);
 
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "node/internal/admin_api.hpp"
 #include "node/internal/caller_side.hpp"
+#include "node/internal/directory_follower.hpp"
 #include "node/internal/spreader.hpp"
 #include "node/internal/target_side.hpp"
 #include "transport/message_codec.hpp"
@@ -27,6 +28,8 @@
 constexpr base::duration_ms last_requests{200};
 constexpr base::duration_ms silence_interval{200};
 constexpr int exit_cut = 3;
+constexpr std::uint32_t ok_status = 200;
+constexpr std::uint32_t unavailable = 503;
 constexpr std::uint64_t admin_max_body = 1U << 20U;
 constexpr std::uint64_t admin_max_header = 16U << 10U;
 constexpr base::duration_ms admin_read_timeout{15000};
@@ -34,8 +37,9 @@
 class running_node : public node
 {
 public:
-    explicit running_node(const schema::node_settings& settings)
-        : work(asio::make_work_guard(this->context)),
+    running_node(
+        const schema::node_settings& settings, platform_adapter adapter)
+        : adapter(std::move(adapter)), work(asio::make_work_guard(this->context)),
           tables(this->context, settings, base::random_bits()),
           targets(this->tables, make_client(this->context, settings)),
           callers(this->tables, this->targets), signals(this->context),
@@ -59,10 +63,16 @@
     base::result<void> open()
     {
         const auto& settings = this->tables.settings;
+        if (!settings.platform.store.empty())
+        {
+            this->tables.names = this->adapter.names;
+        }
         this->start_workers();
         BOOST_LEAF_CHECK(this->open_network());
         BOOST_LEAF_CHECK(this->open_documents());
+        BOOST_LEAF_CHECK(this->open_directory());
         BOOST_LEAF_CHECK(this->open_admin());
+        BOOST_LEAF_CHECK(this->open_ready());
         const http::server_settings server{
             settings.node.address,
             settings.node.caller_port,
@@ -151,12 +161,12 @@
     base::result<void> open_documents()
     {
         const auto& platform = this->tables.settings.platform;
-        std::unique_ptr<platform::platform_client> client;
+        std::unique_ptr<configuration::configuration_client> client;
         if (!platform.url.empty())
         {
             BOOST_LEAF_ASSIGN(
                 client,
-                platform::platform_client::make(
+                configuration::configuration_client::make(
                     this->context, platform.url, {platform.timeout_ms}));
         }
         this->documents = std::make_unique<spreader>(
@@ -167,6 +177,54 @@
         return {};
     }
 
+    base::result<void> open_directory()
+    {
+        const auto& store = this->tables.settings.platform.store;
+        if (store.empty())
+        {
+            return {};
+        }
+        BOOST_LEAF_AUTO(
+            client, this->adapter.make_store(this->context, store));
+        this->directory = std::make_unique<directory_follower>(
+            this->tables, this->adapter, std::move(client),
+            [this](const schema::service_policy& policy)
+            { this->targets.on_policy(policy); });
+        this->directory->attach(*this->network);
+        return {};
+    }
+
+    //! Answers the platform's question whether callers may send new work.
+    base::result<void> open_ready()
+    {
+        const auto& own = this->tables.settings.node;
+        if (own.ready_port == 0)
+        {
+            return {};
+        }
+        const http::server_settings server{
+            own.address, own.ready_port, 0, admin_max_header,
+            admin_read_timeout};
+        BOOST_LEAF_ASSIGN(
+            this->ready_server,
+            http::http_server::open(
+                this->context, server,
+                [this](auto, const auto&, const auto& respond)
+                {
+                    http::response answer;
+                    answer.status = this->is_ready() ? ok_status : unavailable;
+                    respond(std::move(answer));
+                },
+                nullptr));
+        return {};
+    }
+
+    bool is_ready()
+    {
+        return !this->tables.draining &&
+               (!this->directory || this->directory->is_ready());
+    }
+
     base::result<void> open_admin()
     {
         const auto& admin = this->tables.settings.admin;
@@ -363,10 +421,21 @@
         {
             this->tables.note(
                 {0, "woke", 0, 0, "", "gap_ms=" + std::to_string(gap.count)});
+            if (this->directory)
+            {
+                this->directory->on_woke();
+            }
         }
         this->callers.tick(now);
         this->targets.tick(now);
-        this->documents->tick(now);
+        if (this->directory)
+        {
+            this->directory->tick(now);
+        }
+        else
+        {
+            this->documents->tick(now);
+        }
         if (now - this->last_silence_check >= silence_interval)
         {
             this->last_silence_check = now;
@@ -427,16 +496,19 @@
         this->stop_changed.notify_all();
     }
 
+    platform_adapter adapter;
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     node_tables tables;
     target_side targets;
     caller_side callers;
     std::unique_ptr<spreader> documents;
+    std::unique_ptr<directory_follower> directory;
     std::unique_ptr<admin_api> api;
     std::unique_ptr<transport::peer_network> network;
     std::unique_ptr<http::http_server> caller_server;
     std::unique_ptr<http::http_server> admin_server;
+    std::unique_ptr<http::http_server> ready_server;
     asio::signal_set signals;
     asio::steady_timer timer;
     bool signals_added{false};
@@ -454,9 +526,10 @@
 } // namespace
 
 base::result<std::unique_ptr<node>>
-node::start(const schema::node_settings& settings)
+node::start(
+    const schema::node_settings& settings, const platform_adapter& adapter)
 {
-    auto fresh = std::make_unique<running_node>(settings);
+    auto fresh = std::make_unique<running_node>(settings, adapter);
     BOOST_LEAF_CHECK(fresh->open());
     return std::unique_ptr<node>(std::move(fresh));
 }
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -4,7 +4,6 @@
 {
 namespace
 {
-constexpr std::size_t timeline_events = 20000;
 constexpr std::size_t max_key_records = 100000;
 constexpr base::duration_ms key_lifetime{600000};
 } // namespace
@@ -14,7 +13,7 @@
     std::uint64_t incarnation)
     : context(context), settings(std::move(settings)), incarnation(incarnation),
       variant(decisions::make_policy_variant(this->settings.policy.variant)),
-      freezes(base::now()), events(timeline_events),
+      freezes(base::now()), events(this->settings.node.timeline_events),
       keys(max_key_records, key_lifetime)
 {
     this->routing.with([&](routing_table& table)
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -8,6 +8,8 @@
 #include "decisions/resend_gate.hpp"
 #include "decisions/retry_budget.hpp"
 #include "decisions/target_table.hpp"
+#include "directory/dialect.hpp"
+#include "directory/route_map.hpp"
 #include "node/internal/freeze_guard.hpp"
 #include "node/internal/metrics.hpp"
 #include "schema/settings.hpp"
@@ -17,6 +19,7 @@
 
 #include <atomic>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -36,6 +39,7 @@
 //! Innermost are the connections (60) and the time line (90).
 constexpr int keys_rank = 10;
 constexpr int documents_rank = 15;
+constexpr int routes_rank = 17;
 constexpr int calls_rank = 20;
 constexpr int serving_rank = 30;
 constexpr int routing_rank = 40;
@@ -72,12 +76,15 @@
     const schema::node_settings settings;
     const std::uint64_t incarnation;
     const decisions::policy_variant variant;
+    //! Set where a platform's store publishes routes and targets.
+    std::optional<directory::dialect> names;
     freeze_guard freezes;
     metrics counts;
     timeline::timeline events;
     std::atomic<bool> draining{false};
     base::guarded<decisions::key_records, keys_rank> keys;
     base::guarded<decisions::document_store, documents_rank> documents;
+    base::guarded<directory::route_map, routes_rank> routes;
     base::guarded<routing_table, routing_rank> routing;
 };
 } // namespace bilberrytally::node
--- a/src/node/internal/spreader.cpp
+++ b/src/node/internal/spreader.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 spreader::spreader(
-    node_tables& tables, std::unique_ptr<platform::platform_client> client,
+    node_tables& tables, std::unique_ptr<configuration::configuration_client> client,
     std::function<void(const schema::service_policy&)> on_own_policy)
     : tables(tables), client(std::move(client)),
       on_own_policy(std::move(on_own_policy)),
@@ -327,14 +327,14 @@
         this->state.with([](spread_state& state) { return state.index; });
     this->client->read(
         index, {this->tables.settings.platform.wait_ms},
-        [this](const platform::read_outcome& outcome)
+        [this](const configuration::read_outcome& outcome)
         {
             this->on_read(outcome);
             this->reading = false;
         });
 }
 
-void spreader::on_read(const platform::read_outcome& outcome)
+void spreader::on_read(const configuration::read_outcome& outcome)
 {
     const auto now = base::now();
     this->state.with(
--- a/src/node/internal/spreader.hpp
+++ b/src/node/internal/spreader.hpp
@@ -3,7 +3,7 @@
 #include "base/guarded.hpp"
 #include "decisions/reader_schedule.hpp"
 #include "node/internal/node_tables.hpp"
-#include "platform/platform_client.hpp"
+#include "configuration/configuration_client.hpp"
 #include "transport/peer_network.hpp"
 
 #include <atomic>
@@ -28,7 +28,7 @@
 {
 public:
     spreader(
-        node_tables& tables, std::unique_ptr<platform::platform_client> client,
+        node_tables& tables, std::unique_ptr<configuration::configuration_client> client,
         std::function<void(const schema::service_policy&)> on_own_policy);
 
     void attach(transport::peer_network& network);
@@ -74,12 +74,12 @@
     void update_members();
     void push(const decisions::document& document, bool from_outside);
     void read_platform();
-    void on_read(const platform::read_outcome& outcome);
+    void on_read(const configuration::read_outcome& outcome);
     void send_digest(base::time_ms now);
     transport::peer_address pick_peer(spread_state& state) const;
 
     node_tables& tables;
-    std::unique_ptr<platform::platform_client> client;
+    std::unique_ptr<configuration::configuration_client> client;
     std::function<void(const schema::service_policy&)> on_own_policy;
     transport::peer_network* network{nullptr};
     std::atomic<bool> reading{false};
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -168,8 +168,12 @@
     void broadcast_strike(const schema::strike& strike);
     http::transfer_request make_transfer(
         std::uint64_t id, const serving_call& call, base::time_ms now) const;
-    schema::answer
-    to_answer(http::transfer_result& result, std::uint32_t shed_status) const;
+    void add_routed_headers(
+        http::header_list& headers, const serving_call& call,
+        base::duration_ms remaining) const;
+    schema::answer to_answer(
+        const schema::call& call, http::transfer_result& result,
+        std::uint32_t shed_status) const;
 
     node_tables& tables;
     std::unique_ptr<http::http_client> client;
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -3,6 +3,9 @@
 #include "node/internal/target_side.hpp"
 #include "transport/message_codec.hpp"
 
+#include <algorithm>
+#include <array>
+
 //! The parts of target_side that run calls at the backend server.
 namespace bilberrytally::node
 {
@@ -11,6 +14,11 @@
 using schema::refusal;
 
 constexpr double ms_per_s = 1000;
+constexpr std::uint32_t first_success_status = 200;
+constexpr std::uint32_t first_redirect_status = 300;
+constexpr std::uint32_t misdirected_status = 421;
+//! Statuses that promise a caller that its request did not run.
+constexpr std::array<std::uint32_t, 3> promise_statuses{408, 429, 503};
 constexpr base::duration_ms baseline_timeout{60000};
 
 std::string death_name(const std::string& instance, std::uint64_t number)
@@ -19,6 +27,43 @@
 }
 } // namespace
 
+namespace
+{
+//! Reads the answer of a target of a platform's fleet.
+schema::answer routed_answer(
+    http::response& received, const schema::call& call,
+    const directory::dialect& names)
+{
+    using base::verdict;
+    if (!http::find_header(received.headers, names.not_executed).empty() ||
+        received.status == misdirected_status)
+    {
+        return make_refusal(verdict::not_run, refusal::shed_by_backend);
+    }
+    const bool own = http::find_header(received.headers, names.request_id) ==
+                     http::find_header(call.headers, names.request_id);
+    const bool success = received.status >= first_success_status &&
+                         received.status < first_redirect_status;
+    const bool made_by_target =
+        !http::find_header(received.headers, names.signature).empty();
+    const bool encoded =
+        !http::find_header(received.headers, "content-encoding").empty();
+    const bool promise = std::find(
+                             promise_statuses.begin(), promise_statuses.end(),
+                             received.status) != promise_statuses.end();
+    if (!own || encoded || (success && !made_by_target) || promise)
+    {
+        return make_refusal(verdict::may_have_run, refusal::protocol);
+    }
+    schema::answer answer;
+    answer.verdict = static_cast<std::uint32_t>(verdict::ran);
+    answer.status = received.status;
+    answer.headers = std::move(received.headers);
+    answer.body = std::move(received.body);
+    return answer;
+}
+} // namespace
+
 http::transfer_request target_side::make_transfer(
     std::uint64_t id, const serving_call& call, base::time_ms now) const
 {
@@ -30,6 +75,15 @@
     transfer.content.headers = call.call.headers;
     transfer.content.body = call.call.body;
     auto& headers = transfer.content.headers;
+    transfer.host = backend.host;
+    transfer.port = backend.port;
+    transfer.connect_timeout = {backend.connect_timeout_ms};
+    if (this->tables.names)
+    {
+        this->add_routed_headers(headers, call, remaining);
+        transfer.timeout = remaining;
+        return transfer;
+    }
     headers.push_back({"Host", call.call.service});
     headers.push_back(
         {std::string(timeout_header), std::to_string(remaining.count)});
@@ -41,15 +95,25 @@
     headers.push_back(
         {std::string(trace_state_header),
          trace_state_for(id, call.call.trace_state)});
-    transfer.host = backend.host;
-    transfer.port = backend.port;
     //! The baselines do not bound work by its deadline.
     const bool full = decisions::is_full(this->tables.variant);
     transfer.timeout = full ? remaining : baseline_timeout;
-    transfer.connect_timeout = {backend.connect_timeout_ms};
     return transfer;
 }
 
+void target_side::add_routed_headers(
+    http::header_list& headers, const serving_call& call,
+    base::duration_ms remaining) const
+{
+    const auto& names = *this->tables.names;
+    headers.push_back({names.timeout, std::to_string(remaining.count)});
+    if (!call.call.expected_instance.empty())
+    {
+        headers.push_back(
+            {names.expected_instance, call.call.expected_instance});
+    }
+}
+
 void target_side::start(std::uint64_t id)
 {
     const auto now = base::now();
@@ -101,7 +165,8 @@
 }
 
 schema::answer target_side::to_answer(
-    http::transfer_result& result, std::uint32_t shed_status) const
+    const schema::call& call, http::transfer_result& result,
+    std::uint32_t shed_status) const
 {
     using base::verdict;
     switch (result.outcome)
@@ -119,6 +184,10 @@
     case http::transfer_outcome::cancelled:
         return make_refusal(verdict::may_have_run, refusal::cancelled);
     }
+    if (this->tables.names)
+    {
+        return routed_answer(result.answer, call, *this->tables.names);
+    }
     if (shed_status != 0 && result.answer.status == shed_status)
     {
         return make_refusal(verdict::not_run, refusal::shed_by_backend);
@@ -138,7 +207,14 @@
     const auto outcome = result.outcome;
     const base::duration_ms duration{
         static_cast<std::int64_t>(result.duration_ms)};
-    auto answer = this->to_answer(result, shed_status);
+    const auto call = this->serving.with(
+        [&](serving_table& table)
+        {
+            const auto found = table.calls.find(id);
+            return found == table.calls.end() ? schema::call{}
+                                              : found->second.call;
+        });
+    auto answer = this->to_answer(call, result, shed_status);
     if (outcome == http::transfer_outcome::broken)
     {
         this->probe_after_break(id, answer);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.hpp"
+#include "node/platform_adapter.hpp"
 #include "schema/settings.hpp"
 
 #include <memory>
@@ -13,8 +14,9 @@
 {
 public:
     //! Opens all ports and starts the workers.
-    static base::result<std::unique_ptr<node>>
-    start(const schema::node_settings& settings);
+    //! \p adapter is how the platform of the settings' store speaks.
+    static base::result<std::unique_ptr<node>> start(
+        const schema::node_settings& settings, const platform_adapter& adapter);
 
     virtual ~node() = default;
 
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -2,7 +2,7 @@
 #include "node/internal/freeze_guard.hpp"
 #include "node/internal/http_mapping.hpp"
 #include "node/internal/issued_key.hpp"
-#include "platform/platform_client.hpp"
+#include "configuration/configuration_client.hpp"
 #include "timeline/timeline.hpp"
 
 #include <doctest/doctest.h>
@@ -72,7 +72,7 @@
         return base::handle(
             [&]() -> base::result<std::string>
             {
-                BOOST_LEAF_AUTO(changes, platform::parse_changes(body));
+                BOOST_LEAF_AUTO(changes, configuration::parse_changes(body));
                 return std::to_string(changes.documents.size());
             },
             [](const base::error& failure) { return failure.text(); });
--- a/src/schema/internal/ini_fields.cpp
+++ b/src/schema/internal/ini_fields.cpp
@@ -97,6 +97,29 @@
     {
         return {};
     }
+    return this->parse_number(section, key, range, text, out);
+}
+
+base::result<void> ini_fields::take_port(
+    const char* section, const char* key, setting_bounds range,
+    std::uint32_t& out)
+{
+    std::string text;
+    BOOST_LEAF_AUTO(found, this->extract(section, key, range.required, text));
+    if (!found)
+    {
+        return {};
+    }
+    const auto colon = text.rfind(':');
+    const auto start = colon == std::string::npos ? 0 : colon + 1;
+    const auto port = std::string_view(text).substr(start);
+    return this->parse_number(section, key, range, port, out);
+}
+
+base::result<void> ini_fields::parse_number(
+    const char* section, const char* key, setting_bounds range,
+    std::string_view text, std::uint32_t& out) const
+{
     std::uint64_t number = 0;
     const auto* end = text.data() + text.size();
     const auto [last, status] = std::from_chars(text.data(), end, number);
@@ -106,7 +129,7 @@
         return base::fail(
             this->place(section, key), "expected a whole number, " +
                                            range_text(range) + ", not '" +
-                                           text + "'");
+                                           std::string(text) + "'");
     }
     out = static_cast<std::uint32_t>(number);
     return {};
--- a/src/schema/internal/ini_fields.hpp
+++ b/src/schema/internal/ini_fields.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -36,6 +37,11 @@
     base::result<void>
     take(const char* section, const char* key, setting_bounds range, bool& out);
 
+    //! A port, written alone or as IP:port.
+    base::result<void> take_port(
+        const char* section, const char* key, setting_bounds range,
+        std::uint32_t& out);
+
     //! Fails on a text that is not among the allowed ones.
     base::result<void> check_one_of(
         const char* section, const char* key,
@@ -51,6 +57,9 @@
     //! Moves the raw text of a key to \p text; false where it is absent.
     base::result<bool> extract(
         const char* section, const char* key, bool required, std::string& text);
+    base::result<void> parse_number(
+        const char* section, const char* key, setting_bounds range,
+        std::string_view text, std::uint32_t& out) const;
     std::string place(const std::string& section, const std::string& key) const;
 
     std::string file;
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -149,6 +149,9 @@
     std::string key{};
     //! The caller's number for this send, 0 if not given.
     std::uint32_t send_number{0};
+    //! Instance that is to run the call, empty for any; another one must not
+    //! run it.
+    std::string expected_instance{};
     //! Deaths of backend servers while they ran this request.
     std::vector<std::string> struck_by{};
     //! W3C traceparent of the caller.
@@ -166,7 +169,8 @@
             this->headers, this->body, this->digest, this->root, this->depth,
             this->priority, this->remaining_ms, this->budget, this->rerun,
             this->repeatable, this->long_work, this->key, this->send_number,
-            this->struck_by, this->trace_parent, this->trace_state);
+            this->expected_instance, this->struck_by, this->trace_parent,
+            this->trace_state);
     }
 };
 //! The outcome of a call.
@@ -254,6 +258,26 @@
         archive(this->service, this->fingerprint, this->death, this->cleared);
     }
 };
+//! An item of the metadata store, as it was written.
+struct published_item
+{
+    //! Key.
+    std::string key{};
+    //! Bytes written; empty where the item was removed.
+    std::string value{};
+    //! Revision of the store at the last change of the item.
+    std::uint64_t revision{0};
+    //! The item was removed at that revision.
+    bool removed{false};
+
+    bool operator==(const published_item&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->key, this->value, this->revision, this->removed);
+    }
+};
 //! A ticket or an instance list as published.
 struct document
 {
--- a/src/schema/settings.cpp
+++ b/src/schema/settings.cpp
@@ -17,10 +17,12 @@
         fields.take("node", "zone", {true, 1, 64}, value.node.zone));
     BOOST_LEAF_CHECK(
         fields.take("node", "address", {true, 1, 64}, value.node.address));
-    BOOST_LEAF_CHECK(fields.take(
+    BOOST_LEAF_CHECK(fields.take_port(
         "node", "caller_port", {true, 1, 65535}, value.node.caller_port));
-    BOOST_LEAF_CHECK(fields.take(
+    BOOST_LEAF_CHECK(fields.take_port(
         "node", "node_port", {true, 1, 65535}, value.node.node_port));
+    BOOST_LEAF_CHECK(fields.take_port(
+        "node", "ready_port", {false, 1, 65535}, value.node.ready_port));
     BOOST_LEAF_CHECK(
         fields.take("node", "workers", {false, 1, 64}, value.node.workers));
     BOOST_LEAF_CHECK(
@@ -34,14 +36,17 @@
         value.node.drain_limit_ms));
     BOOST_LEAF_CHECK(fields.take(
         "node", "drain_min_ms", {false, 0, 600000}, value.node.drain_min_ms));
+    BOOST_LEAF_CHECK(fields.take(
+        "node", "timeline_events", {false, 1, 1000000},
+        value.node.timeline_events));
     BOOST_LEAF_CHECK(fields.take(
         "node", "test_hooks", {false, 0, internal::no_maximum},
         value.node.test_hooks));
     BOOST_LEAF_CHECK(fields.take(
         "backend", "host", {false, 0, internal::no_maximum},
         value.backend.host));
-    BOOST_LEAF_CHECK(
-        fields.take("backend", "port", {true, 1, 65535}, value.backend.port));
+    BOOST_LEAF_CHECK(fields.take_port(
+        "backend", "port", {true, 1, 65535}, value.backend.port));
     BOOST_LEAF_CHECK(fields.take(
         "backend", "health_path", {false, 0, internal::no_maximum},
         value.backend.health_path));
@@ -69,6 +74,15 @@
     BOOST_LEAF_CHECK(fields.take(
         "platform", "url", {false, 0, internal::no_maximum},
         value.platform.url));
+    BOOST_LEAF_CHECK(fields.take(
+        "platform", "store", {false, 0, internal::no_maximum},
+        value.platform.store));
+    BOOST_LEAF_CHECK(fields.take(
+        "platform", "reads_per_s", {false, 1, 1000000},
+        value.platform.reads_per_s));
+    BOOST_LEAF_CHECK(fields.take(
+        "platform", "removal_hold_ms", {false, 0, 60000},
+        value.platform.removal_hold_ms));
     BOOST_LEAF_CHECK(fields.take(
         "platform", "timeout_ms", {false, 10, 60000},
         value.platform.timeout_ms));
--- a/src/schema/settings.hpp
+++ b/src/schema/settings.hpp
@@ -26,6 +26,9 @@
         std::uint32_t caller_port{0};
         //! Port between nodes, TCP and UDP.
         std::uint32_t node_port{0};
+        //! HTTP port that answers 200 while the node takes new work; 0 for
+        //! none.
+        std::uint32_t ready_port{0};
         //! Worker threads.
         std::uint32_t workers{2};
         //! Key of the tags between nodes.
@@ -38,6 +41,8 @@
         std::uint32_t drain_limit_ms{600000};
         //! A planned stop serves at least this long, ms.
         std::uint32_t drain_min_ms{1000};
+        //! Events kept for the time line.
+        std::uint32_t timeline_events{20000};
         //! Accept the admin calls that cut links.
         bool test_hooks{false};
 
@@ -80,6 +85,14 @@
     {
         //! Base URL of the configuration service; empty for none.
         std::string url{};
+        //! IP:port of a metadata store that publishes routes and targets; empty
+        //! for none.
+        std::string store{};
+        //! Reads a second that the store allows to the whole fleet.
+        std::uint32_t reads_per_s{2000};
+        //! After an outage of the store, time in which a removed target may be
+        //! published again, ms.
+        std::uint32_t removal_hold_ms{2000};
         //! Time beyond the wait after which a read fails, ms.
         std::uint32_t timeout_ms{1000};
         //! Longest waiting watch, ms.
