--- a/src/decisions/concurrency_limit.hpp
+++ b/src/decisions/concurrency_limit.hpp
@@ -26,6 +26,10 @@
     //! Takes a new ceiling from a ticket.
     void set_slots(std::uint32_t slots);
 
+    //! With \p exact slots, only calls that the backend server itself refused
+    //! lower the limit, for a short time.
+    void set_exact(bool exact);
+
     //! \p stretch is service time over the usual time of the route.
     void on_completion(
         completion kind, double stretch, std::uint32_t in_flight,
@@ -38,8 +42,10 @@
     std::uint32_t ceiling() const;
 
 private:
+    void on_exact_completion(completion kind, base::time_ms now);
     void decrease(double factor, double lowest, base::time_ms now);
 
+    bool exact{false};
     double slots;
     double current;
     double recent_stretch{1};
--- a/src/decisions/internal/admission.cpp
+++ b/src/decisions/internal/admission.cpp
@@ -1,6 +1,7 @@
 #include "decisions/admission.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bilberrytally::decisions
 {
@@ -19,6 +20,15 @@
 constexpr unsigned hash_level_shift = 61;
 constexpr double wait_weight = 0.1;
 constexpr base::time_ms never{INT64_MIN / 2};
+//! Backend servers slow down when their last slots are taken.
+constexpr double knee_share = 0.95;
+
+std::uint32_t slots_below_knee(std::uint32_t slots)
+{
+    const auto below =
+        static_cast<std::uint32_t>(std::floor(slots * knee_share));
+    return std::max(below, 1U);
+}
 } // namespace
 
 admission::admission(std::uint32_t slots, policy_variant variant)
@@ -29,7 +39,9 @@
 
 void admission::apply(const schema::service_policy& policy)
 {
-    this->limit.set_slots(policy.slots);
+    this->limit.set_exact(policy.exact_slots);
+    this->limit.set_slots(
+        policy.exact_slots ? slots_below_knee(policy.slots) : policy.slots);
     this->max_wait = {policy.max_wait_ms};
     this->long_share_percent = policy.long_share_percent;
 }
--- a/src/decisions/internal/concurrency_limit.cpp
+++ b/src/decisions/internal/concurrency_limit.cpp
@@ -13,6 +13,8 @@
 constexpr double stretch_lowest_share = 0.5;
 constexpr double stretch_threshold = 2.0;
 constexpr double stretch_weight = 0.1;
+constexpr double exact_shed_factor = 0.95;
+constexpr double exact_lowest_share = 0.7;
 constexpr double growth_per_completion = 0.05;
 } // namespace
 
@@ -28,6 +30,11 @@
     this->current = std::max(1.0, ratio * this->slots);
 }
 
+void concurrency_limit::set_exact(bool exact)
+{
+    this->exact = exact;
+}
+
 void concurrency_limit::on_completion(
     completion kind, double stretch, std::uint32_t in_flight, base::time_ms now)
 {
@@ -35,6 +42,11 @@
     {
         return;
     }
+    if (this->exact)
+    {
+        this->on_exact_completion(kind, now);
+        return;
+    }
     if (kind != completion::served)
     {
         this->decrease(shed_factor, shed_lowest_share, now);
@@ -51,6 +63,18 @@
         std::min(this->slots, this->current + growth_per_completion);
 }
 
+void concurrency_limit::on_exact_completion(
+    completion kind, base::time_ms now)
+{
+    if (kind == completion::shed)
+    {
+        this->decrease(exact_shed_factor, exact_lowest_share, now);
+        return;
+    }
+    this->current =
+        std::min(this->slots, this->current + growth_per_completion);
+}
+
 std::uint32_t concurrency_limit::value() const
 {
     return std::max(1U, static_cast<std::uint32_t>(this->current));
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint64_t polite_minimum = 64U << 10U;
 constexpr std::chrono::hours longest_handling{2};
 constexpr std::chrono::minutes longest_write{10};
-constexpr std::size_t read_buffer_bytes = 16U << 10U;
+constexpr std::size_t read_buffer_bytes = 4U << 10U;
 constexpr std::size_t pipelined_requests = 2;
 constexpr std::size_t concurrent_accepts = 4;
 
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -259,6 +259,11 @@
         this->targets.give_back(
             call->parent, call->budget.left(), call->dispatches);
     }
+    if (call->call.rerun && verdict_of(answer) == verdict::not_run)
+    {
+        //! The last attempt did not run, but an earlier one may have.
+        answer.verdict = static_cast<std::uint32_t>(verdict::may_have_run);
+    }
     answer.unspent = call->budget.left();
     answer.descendants = call->dispatches;
     if (answer.struck)
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -113,6 +113,7 @@
     const bool possible = call.call.repeatable && !call.call.long_work &&
                           call.route == route_kind::balanced &&
                           call.dispatches == 1 && call.budget.left() > 0 &&
+                          !this->tables.names &&
                           decisions::is_full(this->tables.variant);
     if (!possible)
     {
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -163,6 +163,7 @@
     policy.name = own.node.service;
     policy.slots = own.node.slots;
     policy.shed_status = 0;
+    policy.exact_slots = true;
     policy.max_wait_ms = queue_limit_ms;
     this->state.with(
         [&](follow_state& state)
--- a/src/schema/documents.cpp
+++ b/src/schema/documents.cpp
@@ -111,7 +111,7 @@
         json, place,
         {"name", "team", "slots", "retry_budget", "retry_ratio_percent",
          "timeout_ms", "max_wait_ms", "long_share_percent", "shed_status",
-         "connections", "routes"}));
+         "exact_slots", "connections", "routes"}));
     service_policy value;
     BOOST_LEAF_CHECK(
         internal::read_field(json, place, "name", {true, 1, 64}, value.name));
@@ -133,6 +133,9 @@
         value.long_share_percent));
     BOOST_LEAF_CHECK(internal::read_field(
         json, place, "shed_status", {false, 0, 599}, value.shed_status));
+    BOOST_LEAF_CHECK(internal::read_field(
+        json, place, "exact_slots", {false, 0, internal::no_maximum},
+        value.exact_slots));
     BOOST_LEAF_CHECK(internal::read_field(
         json, place, "connections", {false, 1, 100000}, value.connections));
     BOOST_LEAF_CHECK(internal::read_list(
@@ -153,6 +156,7 @@
     json["max_wait_ms"] = value.max_wait_ms;
     json["long_share_percent"] = value.long_share_percent;
     json["shed_status"] = value.shed_status;
+    json["exact_slots"] = value.exact_slots;
     json["connections"] = value.connections;
     json["routes"] = nlohmann::json::array();
     for (const auto& item : value.routes)
--- a/src/schema/documents.hpp
+++ b/src/schema/documents.hpp
@@ -55,6 +55,9 @@
     //! Status by which the backend server says that it did not run a request; 0
     //! for none.
     std::uint32_t shed_status{503};
+    //! The backend server itself says how many calls it runs and refuses more;
+    //! the limit does not adapt to service times.
+    bool exact_slots{false};
     //! Connections to one backend server.
     std::uint32_t connections{930};
     //! Routes; the longest matching prefix counts.
