--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -55,6 +55,11 @@
 {
 }
 
+void target_table::set_drain_lapse(base::duration_ms span)
+{
+    this->drain_lapse = span;
+}
+
 void target_table::apply(const schema::instance_list& list, base::time_ms now)
 {
     std::set<std::string> listed;
@@ -176,6 +181,7 @@
         target.reported_in_flight = result.load.in_flight;
         target.reported_limit = result.load.limit;
         target.draining = result.load.draining;
+        target.drained_at = now;
         target.floor = result.load.floor;
         target.floor_until = result.load.floor == no_floor
                                  ? base::time_ms{INT64_MIN / 2}
@@ -221,12 +227,28 @@
     }
 }
 
-void target_table::on_draining(const std::string& instance, bool draining)
+void target_table::on_draining(
+    const std::string& instance, bool draining, base::time_ms now)
 {
     const auto found = this->targets.find(instance);
     if (found != this->targets.end())
     {
         found->second.draining = draining;
+        found->second.drained_at = now;
+    }
+}
+
+void target_table::on_node_state(
+    const std::string& host, std::uint32_t port, bool draining,
+    base::time_ms now)
+{
+    for (auto& [id, item] : this->targets)
+    {
+        if (item.address.host == host && item.address.port == port)
+        {
+            this->on_draining(id, draining, now);
+            this->on_reachable(id);
+        }
     }
 }
 
@@ -283,7 +305,9 @@
 target_state
 target_table::state_of(const target& candidate, base::time_ms now) const
 {
-    if (candidate.draining)
+    const bool lapsed = this->drain_lapse &&
+                        now - candidate.drained_at >= *this->drain_lapse;
+    if (candidate.draining && !lapsed)
     {
         return target_state::draining;
     }
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -73,6 +73,11 @@
         std::string self, std::string zone,
         policy_variant variant = full_policy{});
 
+    //! A target's word that it takes no new work holds for \p span only, and
+    //! is then asked for again; for good where this is not set. For fleets in
+    //! which a node restarts beside a target that goes on.
+    void set_drain_lapse(base::duration_ms span);
+
     //! Takes the instance list; targets that have denied work stay denied.
     void apply(const schema::instance_list& list, base::time_ms now);
 
@@ -92,7 +97,13 @@
         base::time_ms now);
     void on_unreachable(const std::string& instance, base::time_ms now);
     void on_reachable(const std::string& instance);
-    void on_draining(const std::string& instance, bool draining);
+    void on_draining(
+        const std::string& instance, bool draining, base::time_ms now);
+
+    //! What the node at an address says of itself.
+    void on_node_state(
+        const std::string& host, std::uint32_t port, bool draining,
+        base::time_ms now);
 
     //! Target that owns \p key by rendezvous hashing over all listed targets
     //! but \p excluded.
@@ -112,6 +123,7 @@
         std::string zone;
         bool listed_leaving{false};
         bool draining{false};
+        base::time_ms drained_at{INT64_MIN / 2};
         base::time_ms first_seen;
         base::time_ms unreachable_until{INT64_MIN / 2};
         base::duration_ms unreachable_for{0};
@@ -159,6 +171,7 @@
     std::string zone;
     policy_variant variant;
     std::size_t turn{0};
+    std::optional<base::duration_ms> drain_lapse;
     bool list_known{false};
     //! Ids of the targets that choices are made among.
     std::vector<std::string> subset;
--- a/src/decisions/tests/routing_test.cpp
+++ b/src/decisions/tests/routing_test.cpp
@@ -97,7 +97,7 @@
     {
         CHECK((id == "i0" || id == "i2"));
     }
-    table.on_draining("i0", true);
+    table.on_draining("i0", true, {0});
     table.on_unreachable("i2", {1});
     for (const auto& [id, count] : choose_many(table, 100, {2}))
     {
@@ -125,7 +125,7 @@
 {
     target_table table("x", "a");
     table.apply(make_list(2), {0});
-    table.on_draining("i0", true);
+    table.on_draining("i0", true, {0});
     table.apply(make_list(2), {1});
     CHECK(choose_many(table, 50, {2}).count("i0") == 0);
 }
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -274,6 +274,10 @@
         {0, "answer", call->call.root, id, call->call.service,
          "verdict=" + std::string(base::to_string(verdict_of(answer))) +
              " reason=" + std::string(schema::to_string(answer.reason))});
+    if (this->tables.names)
+    {
+        this->log_outcome(*call, answer);
+    }
     this->complete_key(*call, answer);
     call->reply(std::move(answer));
 }
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -77,6 +77,8 @@
         const directory::route_choice& choice);
     answer_handler
     make_routed_reply(const origin_call& call, http::respond respond);
+    void log_outcome(
+        const origin_call& call, const schema::answer& answer) const;
     //! When a refused caller is to come back.
     static base::duration_ms retry_after();
     bool resend_allowed(const origin_call& call);
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -282,7 +282,7 @@
             }
             if (end.answer.reason == refusal::draining)
             {
-                targets.on_draining(call.target, true);
+                targets.on_draining(call.target, true, now);
             }
             const bool down = end.answer.reason == refusal::backend_down;
             if (down)
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -2,6 +2,8 @@
 #include "node/internal/caller_side.hpp"
 #include "node/internal/http_mapping.hpp"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 
 //! The part of caller_side for fleets whose routes a store publishes.
@@ -13,6 +15,7 @@
 using schema::refusal;
 
 constexpr std::uint32_t not_found_status = 404;
+constexpr std::uint32_t first_error_status = 500;
 constexpr std::uint64_t max_timeout_ms = 3600000;
 constexpr double ms_per_s = 1000;
 constexpr base::duration_ms no_routes_retry_after{500};
@@ -104,6 +107,30 @@
     };
 }
 
+void caller_side::log_outcome(
+    const origin_call& call, const schema::answer& answer) const
+{
+    const auto outcome = verdict_of(answer);
+    const bool failed =
+        outcome != verdict::ran || answer.status >= first_error_status;
+    if (!failed)
+    {
+        return;
+    }
+    const auto now = base::now();
+    LOG(INFO) << "event=request_failed id="
+              << http::find_header(
+                     call.call.headers, this->tables.names->request_id)
+              << " service=" << call.call.service << " path=" << call.call.path
+              << " priority=" << call.call.priority
+              << " verdict=" << base::to_string(outcome)
+              << " reason=" << schema::to_string(answer.reason)
+              << " status=" << answer.status << " target=" << call.target
+              << " attempts=" << call.dispatches
+              << " took_ms=" << (now - call.started).count
+              << " left_ms=" << (call.deadline - now).count;
+}
+
 base::duration_ms caller_side::retry_after()
 {
     constexpr std::uint64_t shortest_ms = 300;
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -13,6 +13,7 @@
 //! Share of the store's rate that waiting watches may take.
 constexpr std::uint64_t watch_share = 4;
 constexpr std::int64_t ms_per_s = 1000;
+constexpr base::duration_ms drain_lapse{1000};
 constexpr std::uint32_t queue_limit_ms = 2000;
 } // namespace
 
@@ -148,10 +149,13 @@
     this->tables.routing.with(
         [&](routing_table& table)
         {
-            table.services
-                .try_emplace(
-                    service, own.instance, own.zone, this->tables.variant)
-                .first->second.apply(list, now);
+            auto& known =
+                table.services
+                    .try_emplace(
+                        service, own.instance, own.zone, this->tables.variant)
+                    .first->second;
+            known.set_drain_lapse(drain_lapse);
+            known.apply(list, now);
         });
     this->tables.note({0, "targets", 0, 0, service, "list=" + names});
 }
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -127,6 +127,8 @@
         schema::hello hello;
         hello.instance = own.instance;
         hello.incarnation = this->tables.incarnation;
+        hello.host = own.address;
+        hello.port = own.node_port;
         transport::network_events events;
         events.links.on_up = [this](auto, const auto& peer)
         { this->on_link_up(peer); };
@@ -247,16 +249,14 @@
 
     void on_link_up(const schema::hello& peer)
     {
+        const auto now = base::now();
         this->tables.routing.with(
             [&](routing_table& table)
             {
                 for (auto& [service, targets] : table.services)
                 {
-                    targets.on_reachable(peer.instance);
-                    if (targets.contains(peer.instance))
-                    {
-                        targets.on_draining(peer.instance, peer.draining);
-                    }
+                    targets.on_node_state(
+                        peer.host, peer.port, peer.draining, now);
                 }
             });
         this->tables.note({0, "link_up", 0, 0, peer.instance, ""});
@@ -380,6 +380,8 @@
         schema::hello notice;
         notice.instance = own.instance;
         notice.incarnation = this->tables.incarnation;
+        notice.host = own.address;
+        notice.port = own.node_port;
         notice.draining = draining;
         this->network->send_to_all(
             transport::frame_kind::notice, transport::encode(notice));
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -97,6 +97,10 @@
     std::uint64_t incarnation{0};
     //! Random number that the peer repeats in each frame.
     std::uint64_t session{0};
+    //! Sender's address.
+    std::string host{};
+    //! Sender's node port.
+    std::uint32_t port{0};
     //! The sender is leaving.
     bool draining{false};
 
@@ -106,7 +110,8 @@
     void serialize(Archive& archive)
     {
         archive(
-            this->instance, this->incarnation, this->session, this->draining);
+            this->instance, this->incarnation, this->session, this->host,
+            this->port, this->draining);
     }
 };
 //! A request on its way to a target or to the home of its idempotency key.
