--- /dev/null
+++ b/src/decisions/internal/attempt_rule.cpp
@@ -0,0 +1,54 @@
+#include "decisions/attempt_rule.hpp"
+
+namespace bilberrytally::decisions
+{
+namespace
+{
+using base::verdict;
+using schema::refusal;
+
+constexpr std::uint32_t first_server_error = 500;
+//! Nodes asked before the request is refused.
+constexpr std::uint32_t most_refusals = 3;
+} // namespace
+
+bool may_have_arrived(const schema::answer& answer)
+{
+    const auto outcome = static_cast<verdict>(answer.verdict);
+    return outcome != verdict::not_run ||
+           answer.reason == refusal::shed_by_backend;
+}
+
+next_step after_attempt(
+    const schema::answer& answer, const attempt_limits& limits,
+    const attempt_history& history)
+{
+    switch (answer.reason)
+    {
+    case refusal::deadline:
+    case refusal::quarantined:
+    case refusal::cancelled:
+        return next_step::finish;
+    default:
+        break;
+    }
+    const auto outcome = static_cast<verdict>(answer.verdict);
+    const bool served =
+        outcome == verdict::ran && answer.status < first_server_error;
+    const bool safe = outcome == verdict::not_run || limits.repeatable;
+    if (served || !safe || answer.failed_below)
+    {
+        return next_step::finish;
+    }
+    if (history.arrivals >= limits.max_attempts)
+    {
+        return next_step::finish;
+    }
+    if (may_have_arrived(answer))
+    {
+        return next_step::retry;
+    }
+    return history.refusals < most_refusals ? next_step::reroute
+                                            : next_step::finish;
+}
+} // namespace bilberrytally::decisions
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -240,7 +240,14 @@
         });
     this->tables.routing.with(
         [&](routing_table& table)
-        { table.retries.on_fresh_call(service, percent); });
+        {
+            if (this->tables.names)
+            {
+                table.retries.on_fresh_call(service);
+                return;
+            }
+            table.retries.on_fresh_call(service, percent);
+        });
     this->origins.with([&](origin_table& table)
                        { table.insert(std::move(fresh)); });
     this->dispatch(id);
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -77,6 +77,8 @@
         const directory::route_choice& choice);
     answer_handler
     make_routed_reply(const origin_call& call, http::respond respond);
+    bool may_retry_routed(origin_call& call, const schema::answer& answer);
+    bool has_untried_target(const origin_call& call);
     void log_outcome(
         const origin_call& call, const schema::answer& answer) const;
     //! When a refused caller is to come back.
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -14,6 +14,20 @@
 constexpr std::uint32_t first_server_error = 500;
 //! Attempts at each hop under the baseline policies.
 constexpr std::uint32_t baseline_attempts = 4;
+
+bool has_attempt_left(const origin_call& call)
+{
+    return call.latency_group.empty()
+               ? call.budget.left() > 0
+               : call.history.arrivals + 1 < call.limits.max_attempts;
+}
+
+//! Without published routes, all requests of a service are one group.
+const std::string& latency_group(const origin_call& call)
+{
+    return call.latency_group.empty() ? call.call.service
+                                      : call.latency_group;
+}
 } // namespace
 
 std::optional<decisions::target_address>
@@ -112,8 +126,8 @@
 {
     const bool possible = call.call.repeatable && !call.call.long_work &&
                           call.route == route_kind::balanced &&
-                          call.dispatches == 1 && call.budget.left() > 0 &&
-                          !this->tables.names &&
+                          call.dispatches == 1 && has_attempt_left(call) &&
+                          !this->tables.draining &&
                           decisions::is_full(this->tables.variant);
     if (!possible)
     {
@@ -121,7 +135,7 @@
     }
     const auto delay = this->tables.routing.with(
         [&](routing_table& routing)
-        { return routing.delays[call.call.service].delay(); });
+        { return routing.delays[latency_group(call)].delay(); });
     if (delay)
     {
         table.by_reroute.emplace(call.dispatched + *delay, call.attempt);
@@ -273,7 +287,7 @@
         {
             if (verdict_of(end.answer) == verdict::ran)
             {
-                table.delays[call.call.service].on_answer(
+                table.delays[latency_group(call)].on_answer(
                     now - call.dispatched, end.answer.descendants);
             }
             if (!end.answered && !end.abandoned)
@@ -304,6 +318,10 @@
     {
         return false;
     }
+    if (this->tables.names)
+    {
+        return this->may_retry_routed(call, answer);
+    }
     switch (answer.reason)
     {
     case refusal::deadline:
@@ -444,7 +462,7 @@
         const bool allowed = this->tables.routing.with(
             [&](routing_table& table)
             { return table.retries.tokens(call.call.service) >= 1; });
-        if (!allowed)
+        if (!allowed || this->tables.draining)
         {
             continue;
         }
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -73,7 +73,8 @@
         way.timeout.count > 0 ? std::min(timeout, way.timeout) : timeout;
     fresh.deadline =
         fresh.started + bound - this->tables.freezes.charge(fresh.started);
-    fresh.budget = decisions::retry_budget(std::max(way.max_attempts, 1U) - 1);
+    fresh.limits = {way.repeatable, std::max(way.max_attempts, 1U)};
+    fresh.latency_group = way.name + '/' + choice.service;
     auto& call = fresh.call;
     call.service = choice.service;
     call.method = request.method;
@@ -107,6 +108,47 @@
     };
 }
 
+bool caller_side::may_retry_routed(
+    origin_call& call, const schema::answer& answer)
+{
+    if (decisions::may_have_arrived(answer))
+    {
+        ++call.history.arrivals;
+    }
+    else
+    {
+        ++call.history.refusals;
+    }
+    switch (decisions::after_attempt(answer, call.limits, call.history))
+    {
+    case decisions::next_step::finish:
+        return false;
+    case decisions::next_step::reroute:
+        return this->has_untried_target(call);
+    case decisions::next_step::retry:
+        break;
+    }
+    return this->tables.routing.with(
+        [&](routing_table& table)
+        { return table.retries.allow_retry(call.call.service); });
+}
+
+bool caller_side::has_untried_target(const origin_call& call)
+{
+    bool untried = false;
+    this->tables.with_targets(
+        call.call.service,
+        [&](auto& targets, routing_table&)
+        {
+            const auto rows = targets.view(base::now());
+            untried = std::any_of(
+                rows.begin(), rows.end(),
+                [&](const auto& row)
+                { return call.tried.count(row.address.instance) == 0; });
+        });
+    return untried;
+}
+
 void caller_side::log_outcome(
     const origin_call& call, const schema::answer& answer) const
 {
@@ -118,6 +160,7 @@
         return;
     }
     const auto now = base::now();
+    this->tables.last_failure = now.count;
     LOG(INFO) << "event=request_failed id="
               << http::find_header(
                      call.call.headers, this->tables.names->request_id)
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -13,6 +13,8 @@
 //! Share of the store's rate that waiting watches may take.
 constexpr std::uint64_t watch_share = 4;
 constexpr std::int64_t ms_per_s = 1000;
+//! The rest of the budget is for the calls that retries cause further down.
+constexpr double retry_share = 0.4;
 constexpr base::duration_ms drain_lapse{1000};
 constexpr std::uint32_t queue_limit_ms = 2000;
 } // namespace
@@ -111,9 +113,25 @@
     if (change.configuration || !change.services.empty())
     {
         this->apply_own_policy();
+        this->apply_retry_limits();
     }
 }
 
+void directory_follower::apply_retry_limits()
+{
+    const auto nodes = this->state.with(
+        [](follow_state& state) { return state.view.all_targets().size(); });
+    const auto& fleet = this->tables.settings.fleet;
+    const auto part = fleet.retry_extra * retry_share /
+                      static_cast<double>(std::max<std::size_t>(nodes, 1));
+    this->tables.routing.with(
+        [&](routing_table& table)
+        {
+            table.retries.set_limits(
+                fleet.retry_ratio * retry_share, std::max(part, 1.0));
+        });
+}
+
 void directory_follower::apply_configuration()
 {
     const auto configuration = this->state.with(
--- a/src/node/internal/directory_follower.hpp
+++ b/src/node/internal/directory_follower.hpp
@@ -50,6 +50,8 @@
     void apply_configuration();
     void apply_targets(const std::string& service);
     void apply_own_policy();
+    //! Shares the fleet's retry budget among its nodes.
+    void apply_retry_limits();
     base::duration_ms watch_wait(std::size_t nodes) const;
 
     node_tables& tables;
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -82,6 +82,8 @@
     metrics counts;
     timeline::timeline events;
     std::atomic<bool> draining{false};
+    //! When a request that began here failed last, ms on the monotonic clock.
+    std::atomic<std::int64_t> last_failure{INT64_MIN / 2};
     base::guarded<decisions::key_records, keys_rank> keys;
     base::guarded<decisions::document_store, documents_rank> documents;
     base::guarded<directory::route_map, routes_rank> routes;
--- a/src/node/internal/origin_call.hpp
+++ b/src/node/internal/origin_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "decisions/attempt_rule.hpp"
 #include "decisions/key_records.hpp"
 #include "decisions/retry_budget.hpp"
 #include "decisions/target_table.hpp"
@@ -49,6 +50,12 @@
     decisions::target_address fixed_target;
     std::set<std::string> tried;
 
+    //! How the attempts went, where routes are published by a store.
+    decisions::attempt_history history;
+    decisions::attempt_limits limits;
+    //! Names the requests whose latencies are learned together.
+    std::string latency_group;
+
     //! Dispatches so far.
     std::uint32_t dispatches{0};
     //! The context had no extra attempt left for this call.
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -16,6 +16,9 @@
 constexpr double ms_per_s = 1000;
 constexpr std::uint32_t first_success_status = 200;
 constexpr std::uint32_t first_redirect_status = 300;
+constexpr std::uint32_t first_error_status = 500;
+//! A backend server passes on the failure of a call within this time.
+constexpr base::duration_ms failure_reach{25};
 constexpr std::uint32_t misdirected_status = 421;
 //! Statuses that promise a caller that its request did not run.
 constexpr std::array<std::uint32_t, 3> promise_statuses{408, 429, 503};
@@ -186,7 +189,12 @@
     }
     if (this->tables.names)
     {
-        return routed_answer(result.answer, call, *this->tables.names);
+        auto answer = routed_answer(result.answer, call, *this->tables.names);
+        const base::duration_ms since{
+            base::now().count - this->tables.last_failure.load()};
+        answer.failed_below =
+            answer.status >= first_error_status && since <= failure_reach;
+        return answer;
     }
     if (shed_status != 0 && result.answer.status == shed_status)
     {
--- a/src/schema/internal/ini_fields.cpp
+++ b/src/schema/internal/ini_fields.cpp
@@ -1,5 +1,6 @@
 #include "schema/internal/ini_fields.hpp"
 
+#include <boost/lexical_cast/try_lexical_convert.hpp>
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 
@@ -100,6 +101,29 @@
     return this->parse_number(section, key, range, text, out);
 }
 
+base::result<void> ini_fields::take(
+    const char* section, const char* key, setting_bounds range, double& out)
+{
+    std::string text;
+    BOOST_LEAF_AUTO(found, this->extract(section, key, range.required, text));
+    if (!found)
+    {
+        return {};
+    }
+    double number = 0;
+    const bool whole = boost::conversion::try_lexical_convert(text, number);
+    const bool within = number >= static_cast<double>(range.minimum) &&
+                        number <= static_cast<double>(range.maximum);
+    if (!whole || !within)
+    {
+        return base::fail(
+            this->place(section, key),
+            "expected a number, " + range_text(range) + ", not '" + text + "'");
+    }
+    out = number;
+    return {};
+}
+
 base::result<void> ini_fields::take_port(
     const char* section, const char* key, setting_bounds range,
     std::uint32_t& out)
--- a/src/schema/internal/ini_fields.hpp
+++ b/src/schema/internal/ini_fields.hpp
@@ -37,6 +37,9 @@
     base::result<void>
     take(const char* section, const char* key, setting_bounds range, bool& out);
 
+    base::result<void> take(
+        const char* section, const char* key, setting_bounds range,
+        double& out);
     //! A port, written alone or as IP:port.
     base::result<void> take_port(
         const char* section, const char* key, setting_bounds range,
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -199,6 +199,8 @@
     std::uint32_t unspent{0};
     //! Dispatches that the call caused further down the graph.
     std::uint32_t descendants{0};
+    //! The failure followed one of a call that the backend server made.
+    bool failed_below{false};
     //! The backend server died while running this request.
     bool struck{false};
     //! Load of the answering target.
@@ -212,7 +214,7 @@
         archive(
             this->id, this->digest, this->verdict, this->reason, this->status,
             this->headers, this->body, this->unspent, this->descendants,
-            this->struck, this->load);
+            this->failed_below, this->struck, this->load);
     }
 };
 //! The caller has gone; stop the call if possible.
--- a/src/schema/settings.cpp
+++ b/src/schema/settings.cpp
@@ -94,6 +94,10 @@
     BOOST_LEAF_CHECK(fields.take(
         "platform", "expected_fleet", {false, 1, 1000000},
         value.platform.expected_fleet));
+    BOOST_LEAF_CHECK(fields.take(
+        "fleet", "retry_ratio", {false, 0, 1}, value.fleet.retry_ratio));
+    BOOST_LEAF_CHECK(fields.take(
+        "fleet", "retry_extra", {false, 0, 1000000}, value.fleet.retry_extra));
     BOOST_LEAF_CHECK(fields.take(
         "admin", "address", {false, 0, internal::no_maximum},
         value.admin.address));
--- a/src/schema/settings.hpp
+++ b/src/schema/settings.hpp
@@ -104,6 +104,16 @@
 
         bool operator==(const platform_section&) const = default;
     };
+    //! Section [fleet].
+    struct fleet_section
+    {
+        //! Retries of a service over the whole fleet, per request.
+        double retry_ratio{0.2};
+        //! Retries in ten seconds that are allowed whatever the load.
+        double retry_extra{40};
+
+        bool operator==(const fleet_section&) const = default;
+    };
     //! Section [admin].
     struct admin_section
     {
@@ -141,6 +151,7 @@
     backend_section backend;
     caller_section caller;
     platform_section platform;
+    fleet_section fleet;
     admin_section admin;
     policy_section policy;
     log_section log;
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -10,7 +10,7 @@
 import jinja2
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-SCALARS = {"u32": "std::uint32_t", "port": "std::uint32_t", "u64": "std::uint64_t", "i64": "std::int64_t",
+SCALARS = {"u32": "std::uint32_t", "port": "std::uint32_t", "number": "double", "u64": "std::uint64_t", "i64": "std::int64_t",
            "bool": "bool", "string": "std::string"}
 
 
