--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -1,5 +1,7 @@
 #include "node/internal/node_tables.hpp"
 
+#include <glog/logging.h>
+
 namespace bilberrytally::node
 {
 namespace
@@ -34,6 +36,11 @@
 void node_tables::note(timeline::event entry)
 {
     this->counts.on_event(entry.kind);
+    if (entry.kind != "answer")
+    {
+        LOG(INFO) << "event=" << entry.kind << " call=" << entry.call
+                  << " subject=" << entry.subject << ' ' << entry.detail;
+    }
     this->events.record(std::move(entry));
 }
 } // namespace bilberrytally::node
