--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -39,6 +39,9 @@
     request content;
     std::string host;
     std::uint32_t port{0};
+    //! Header by which an answer says which request it belongs to; answers
+    //! with another value are skipped. No name where answers do not say.
+    schema::header answer_id;
     base::duration_ms timeout;
     base::duration_ms connect_timeout{500};
 };
@@ -62,6 +65,11 @@
     static std::unique_ptr<http_client>
     make(asio::io_context& context, const client_limits& limits);
 
+    //! A client that keeps connections to one server on this machine, for
+    //! servers that may send answers late or twice.
+    static std::unique_ptr<http_client>
+    make_pooled(asio::io_context& context, const client_limits& limits);
+
     virtual ~http_client() = default;
 
     //! Starts a transfer; \p on_done is called once, on a worker.
--- /dev/null
+++ b/src/http/internal/pooled_client.cpp
@@ -0,0 +1,335 @@
+#include "http/internal/pooled_connection.hpp"
+
+#include <asio/dispatch.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace bilberrytally::http
+{
+namespace
+{
+constexpr base::duration_ms usual_idle{4000};
+//! Part of the server's idle time after which a connection is not reused.
+constexpr std::int64_t idle_numerator = 3;
+constexpr std::int64_t idle_denominator = 4;
+
+class pooled_client : public http_client
+{
+public:
+    pooled_client(asio::io_context& context, const client_limits& limits)
+        : strand(asio::make_strand(context)), timer(this->strand),
+          limits(limits)
+    {
+    }
+
+    ~pooled_client() override
+    {
+        this->stopped = true;
+        for (auto& [id, item] : this->transfers)
+        {
+            item.connection->close(transfer_outcome::cancelled);
+        }
+        for (auto& item : this->idle)
+        {
+            item.connection->close(transfer_outcome::cancelled);
+        }
+    }
+
+    pooled_client(const pooled_client&) = delete;
+    pooled_client& operator=(const pooled_client&) = delete;
+
+    std::uint64_t
+    start(transfer_request request, transfer_handler on_done) override
+    {
+        const auto id = ++this->last_id;
+        //! Not dispatched at once: the caller stores the id first.
+        asio::post(
+            this->strand,
+            [this, id, request = std::move(request),
+             on_done = std::move(on_done)]() mutable
+            { this->begin(id, request, std::move(on_done)); });
+        return id;
+    }
+
+    void cancel(std::uint64_t id) override
+    {
+        asio::post(
+            this->strand,
+            [this, id] { this->abort(id, transfer_outcome::cancelled); });
+    }
+
+    std::uint64_t held_bytes() const override
+    {
+        return 0;
+    }
+
+    void set_connections_per_host(std::uint32_t connections) override
+    {
+        asio::post(
+            this->strand,
+            [this, connections]
+            { this->limits.connections_per_host = connections; });
+    }
+
+private:
+    using connection_ptr = std::shared_ptr<pooled_connection>;
+
+    struct transfer
+    {
+        connection_ptr connection;
+        transfer_handler on_done;
+        base::time_ms started;
+        base::time_ms deadline;
+        base::time_ms connect_deadline;
+    };
+
+    struct idle_connection
+    {
+        connection_ptr connection;
+        asio::ip::tcp::endpoint endpoint;
+        base::time_ms since;
+    };
+
+    void begin(
+        std::uint64_t id, const transfer_request& request,
+        transfer_handler on_done)
+    {
+        const auto now = base::now();
+        std::error_code error;
+        const auto ip = asio::ip::make_address(request.host, error);
+        const asio::ip::tcp::endpoint endpoint(
+            ip, static_cast<std::uint16_t>(request.port));
+        if (error)
+        {
+            on_done({});
+            return;
+        }
+        auto known = this->take_idle(endpoint, now);
+        const bool fresh = !known;
+        auto connection = fresh ? this->make_connection() : std::move(known);
+        this->transfers.emplace(
+            id, transfer{
+                    connection, std::move(on_done), now, now + request.timeout,
+                    now + request.connect_timeout});
+        auto done = [this, id, endpoint, weak = std::weak_ptr(connection)](
+                        transfer_outcome outcome, response answer,
+                        bool reusable)
+        {
+            this->on_end(
+                id, outcome, std::move(answer),
+                reusable ? weak.lock() : nullptr, endpoint);
+        };
+        if (fresh)
+        {
+            connection->connect_and_send(endpoint, request, std::move(done));
+            this->arm(now + request.connect_timeout);
+        }
+        else
+        {
+            connection->send(request, std::move(done));
+        }
+        this->arm(now + request.timeout);
+    }
+
+    connection_ptr make_connection()
+    {
+        const auto number = ++this->last_connection;
+        auto connection = std::make_shared<pooled_connection>(
+            this->strand, this->limits.max_answer_bytes,
+            [this, number] { this->on_idle_close(number); });
+        this->numbers.emplace(connection.get(), number);
+        return connection;
+    }
+
+    connection_ptr
+    take_idle(const asio::ip::tcp::endpoint& endpoint, base::time_ms now)
+    {
+        while (!this->idle.empty())
+        {
+            //! The latest used one: the others grow old and are closed.
+            auto item = std::move(this->idle.back());
+            this->idle.pop_back();
+            const bool usable = item.endpoint == endpoint &&
+                                now - item.since < idle_limit(item);
+            if (usable)
+            {
+                return std::move(item.connection);
+            }
+            this->forget(item.connection);
+            item.connection->close(transfer_outcome::cancelled);
+        }
+        return nullptr;
+    }
+
+    static base::duration_ms idle_limit(const idle_connection& item)
+    {
+        const auto said = item.connection->idle_limit();
+        return said ? base::duration_ms{said->count * idle_numerator /
+                                        idle_denominator}
+                    : usual_idle;
+    }
+
+    void close_old(base::time_ms now)
+    {
+        //! Sorted by age: the oldest is first.
+        while (!this->idle.empty() &&
+               now - this->idle.front().since >= idle_limit(this->idle.front()))
+        {
+            auto connection = this->idle.front().connection;
+            this->idle.erase(this->idle.begin());
+            this->forget(connection);
+            connection->close(transfer_outcome::cancelled);
+        }
+    }
+
+    void forget(const connection_ptr& connection)
+    {
+        this->numbers.erase(connection.get());
+    }
+
+    void on_idle_close(std::uint64_t number)
+    {
+        if (this->stopped)
+        {
+            return;
+        }
+        std::erase_if(
+            this->idle,
+            [&](const auto& item)
+            {
+                const auto found = this->numbers.find(item.connection.get());
+                return found != this->numbers.end() && found->second == number;
+            });
+        std::erase_if(
+            this->numbers,
+            [&](const auto& item) { return item.second == number; });
+    }
+
+    void on_end(
+        std::uint64_t id, transfer_outcome outcome, response answer,
+        connection_ptr reusable, const asio::ip::tcp::endpoint& endpoint)
+    {
+        const auto found = this->transfers.find(id);
+        if (found == this->transfers.end())
+        {
+            return;
+        }
+        const auto now = base::now();
+        auto item = std::move(found->second);
+        this->transfers.erase(found);
+        if (reusable)
+        {
+            this->idle.push_back({std::move(reusable), endpoint, now});
+        }
+        else
+        {
+            this->forget(item.connection);
+        }
+        transfer_result result;
+        result.outcome = outcome;
+        result.answer = std::move(answer);
+        result.duration_ms = static_cast<double>((now - item.started).count);
+        if (!this->stopped)
+        {
+            item.on_done(std::move(result));
+        }
+    }
+
+    void abort(std::uint64_t id, transfer_outcome outcome)
+    {
+        const auto found = this->transfers.find(id);
+        if (found != this->transfers.end())
+        {
+            const auto connection = found->second.connection;
+            connection->close(outcome);
+        }
+    }
+
+    void arm(base::time_ms when)
+    {
+        if (this->armed && *this->armed <= when)
+        {
+            return;
+        }
+        this->armed = when;
+        const auto now = base::now();
+        const auto span = std::max<std::int64_t>((when - now).count, 1);
+        this->timer.expires_after(std::chrono::milliseconds(span));
+        this->timer.async_wait(
+            [this](std::error_code error)
+            {
+                if (!error)
+                {
+                    this->on_timer();
+                }
+            });
+    }
+
+    void on_timer()
+    {
+        this->armed.reset();
+        const auto now = base::now();
+        this->close_old(now);
+        std::vector<std::uint64_t> late;
+        std::vector<std::uint64_t> unconnected;
+        std::optional<base::time_ms> next;
+        for (const auto& [id, item] : this->transfers)
+        {
+            const bool connecting = item.connection->is_connecting();
+            const auto due = connecting
+                                 ? std::min(item.connect_deadline, item.deadline)
+                                 : item.deadline;
+            if (due > now)
+            {
+                next = next ? std::min(*next, due) : due;
+                continue;
+            }
+            (connecting ? unconnected : late).push_back(id);
+        }
+        for (const auto id : unconnected)
+        {
+            this->abort(id, transfer_outcome::unsent);
+        }
+        for (const auto id : late)
+        {
+            this->abort(id, transfer_outcome::timed_out);
+        }
+        if (!this->idle.empty())
+        {
+            const auto old =
+                this->idle.front().since + idle_limit(this->idle.front());
+            next = next ? std::min(*next, old) : old;
+        }
+        if (next)
+        {
+            this->arm(*next);
+        }
+    }
+
+    asio::strand<asio::io_context::executor_type> strand;
+    asio::steady_timer timer;
+    client_limits limits;
+    std::atomic<std::uint64_t> last_id{0};
+    std::uint64_t last_connection{0};
+    bool stopped{false};
+    std::optional<base::time_ms> armed;
+    std::unordered_map<std::uint64_t, transfer> transfers;
+    std::unordered_map<const pooled_connection*, std::uint64_t> numbers;
+    //! Oldest first.
+    std::vector<idle_connection> idle;
+};
+} // namespace
+
+std::unique_ptr<http_client> http_client::make_pooled(
+    asio::io_context& context, const client_limits& limits)
+{
+    return std::make_unique<pooled_client>(context, limits);
+}
+} // namespace bilberrytally::http
--- /dev/null
+++ b/src/http/internal/pooled_connection.cpp
@@ -0,0 +1,286 @@
+#include "http/internal/pooled_connection.hpp"
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace bilberrytally::http
+{
+namespace
+{
+constexpr std::int64_t ms_per_s = 1000;
+constexpr std::string_view timeout_parameter = "timeout=";
+
+std::optional<base::duration_ms> parse_keep_alive(std::string_view value)
+{
+    const auto at = value.find(timeout_parameter);
+    if (at == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    const auto text = value.substr(at + timeout_parameter.size());
+    std::int64_t seconds = 0;
+    const auto [last, status] =
+        std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (status != std::errc{})
+    {
+        return std::nullopt;
+    }
+    return base::duration_ms{seconds * ms_per_s};
+}
+} // namespace
+
+std::string serialize_request(const transfer_request& request)
+{
+    const auto& content = request.content;
+    constexpr std::size_t usual_header_bytes = 512;
+    std::string bytes;
+    bytes.reserve(usual_header_bytes + content.body.size());
+    bytes.append(content.method).append(" ").append(content.target);
+    bytes.append(" HTTP/1.1\r\n");
+    bool host = false;
+    for (const auto& header : content.headers)
+    {
+        host |= header.name == "host" || header.name == "Host";
+        bytes.append(header.name).append(": ").append(header.value);
+        bytes.append("\r\n");
+    }
+    if (!host)
+    {
+        bytes.append("host: ").append(request.host);
+        bytes.append(":").append(std::to_string(request.port)).append("\r\n");
+    }
+    const bool has_body = !content.body.empty() || content.method == "POST" ||
+                          content.method == "PUT" || content.method == "PATCH";
+    if (has_body)
+    {
+        bytes.append("content-length: ");
+        bytes.append(std::to_string(content.body.size())).append("\r\n");
+    }
+    bytes.append("\r\n").append(content.body);
+    return bytes;
+}
+
+pooled_connection::pooled_connection(
+    const asio::any_io_executor& executor, std::uint64_t max_answer_bytes,
+    on_idle_close closed)
+    : socket(executor), parser(max_answer_bytes), closed(std::move(closed))
+{
+}
+
+void pooled_connection::connect_and_send(
+    const asio::ip::tcp::endpoint& endpoint, const transfer_request& request,
+    on_end done)
+{
+    this->begin(request, std::move(done));
+    this->connecting = true;
+    auto self = this->shared_from_this();
+    this->socket.async_connect(
+        endpoint,
+        [self](std::error_code error)
+        {
+            self->connecting = false;
+            if (self->dead)
+            {
+                return;
+            }
+            if (error)
+            {
+                self->close(transfer_outcome::unsent);
+                return;
+            }
+            self->connected = true;
+            std::error_code ignored;
+            self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->write();
+            self->read();
+        });
+}
+
+void pooled_connection::send(const transfer_request& request, on_end done)
+{
+    this->begin(request, std::move(done));
+    this->write();
+}
+
+void pooled_connection::begin(const transfer_request& request, on_end done)
+{
+    this->done = std::move(done);
+    this->outgoing = serialize_request(request);
+    this->expected = request.answer_id;
+    this->to_head = request.content.method == "HEAD";
+    this->sent_any = false;
+    this->parser.begin(this->to_head);
+}
+
+void pooled_connection::write()
+{
+    this->writing = true;
+    //! From here on, bytes may have reached the server.
+    this->sent_any = true;
+    auto self = this->shared_from_this();
+    asio::async_write(
+        this->socket, asio::buffer(this->outgoing),
+        [self](std::error_code error, std::size_t)
+        {
+            self->writing = false;
+            if (error && !self->dead && !self->reading)
+            {
+                self->close(transfer_outcome::broken);
+            }
+            //! Else the end of reading tells how the request ended: an answer
+            //! may have come before the server stopped to read.
+        });
+}
+
+void pooled_connection::read()
+{
+    this->reading = true;
+    auto self = this->shared_from_this();
+    this->socket.async_read_some(
+        asio::buffer(this->buffer),
+        [self](std::error_code error, std::size_t length)
+        {
+            self->reading = false;
+            if (self->dead)
+            {
+                return;
+            }
+            if (error)
+            {
+                self->on_read_end(error == asio::error::eof);
+                return;
+            }
+            self->on_bytes(std::string_view(self->buffer.data(), length));
+            if (!self->dead)
+            {
+                self->read();
+            }
+        });
+}
+
+void pooled_connection::on_bytes(std::string_view bytes)
+{
+    while (!bytes.empty() && !this->dead)
+    {
+        if (!this->done)
+        {
+            //! Bytes that no request asked for.
+            this->close(transfer_outcome::broken);
+            return;
+        }
+        switch (this->parser.feed(bytes))
+        {
+        case answer_parser::progress::partial:
+            return;
+        case answer_parser::progress::complete:
+            this->spoiled |= !bytes.empty();
+            this->on_answer();
+            break;
+        case answer_parser::progress::malformed:
+            this->close(transfer_outcome::broken);
+            return;
+        case answer_parser::progress::too_large:
+            this->close(transfer_outcome::too_large);
+            return;
+        }
+    }
+}
+
+void pooled_connection::on_read_end(bool clean)
+{
+    const bool completed =
+        clean && this->done &&
+        this->parser.end() == answer_parser::progress::complete;
+    if (completed && !this->is_foreign(this->parser.current()))
+    {
+        this->spoiled = true;
+        this->on_answer();
+        return;
+    }
+    this->close(transfer_outcome::broken);
+}
+
+void pooled_connection::on_answer()
+{
+    const bool keeps = this->parser.keeps_connection();
+    auto answer = this->parser.take();
+    if (this->is_foreign(answer))
+    {
+        //! A late second answer to an earlier request; the own one follows.
+        this->spoiled = true;
+        if (!keeps)
+        {
+            this->close(transfer_outcome::broken);
+            return;
+        }
+        this->parser.begin(this->to_head);
+        return;
+    }
+    const auto said = parse_keep_alive(find_header(answer.headers, "keep-alive"));
+    this->idle = said ? said : this->idle;
+    //! A server that answered early still waits for the rest of the body.
+    const bool reusable = keeps && !this->spoiled && !this->writing;
+    this->finish(transfer_outcome::answered, std::move(answer), reusable);
+}
+
+bool pooled_connection::is_foreign(const response& answer) const
+{
+    if (this->expected.name.empty())
+    {
+        return false;
+    }
+    const auto id = find_header(answer.headers, this->expected.name);
+    return !id.empty() && id != this->expected.value;
+}
+
+void pooled_connection::finish(
+    transfer_outcome outcome, response answer, bool reusable)
+{
+    auto handler = std::exchange(this->done, nullptr);
+    if (!reusable && !this->dead)
+    {
+        this->dead = true;
+        std::error_code ignored;
+        this->socket.close(ignored);
+    }
+    if (handler)
+    {
+        handler(outcome, std::move(answer), reusable);
+    }
+}
+
+void pooled_connection::close(transfer_outcome outcome)
+{
+    if (this->dead)
+    {
+        return;
+    }
+    this->dead = true;
+    std::error_code ignored;
+    this->socket.close(ignored);
+    if (this->done)
+    {
+        const bool unsent = !this->sent_any;
+        this->finish(
+            unsent ? transfer_outcome::unsent : outcome, response{}, false);
+        return;
+    }
+    if (this->closed)
+    {
+        this->closed();
+    }
+}
+
+bool pooled_connection::is_connecting() const
+{
+    return this->connecting;
+}
+
+std::optional<base::duration_ms> pooled_connection::idle_limit() const
+{
+    return this->idle;
+}
+} // namespace bilberrytally::http
--- /dev/null
+++ b/src/http/tests/pooled_client_test.cpp
@@ -0,0 +1,235 @@
+#include "http/http_client.hpp"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <future>
+#include <thread>
+#include <utility>
+
+using namespace bilberrytally;
+using asio::ip::tcp;
+
+namespace
+{
+//! What the server does after it has read the head of a request.
+struct server_step
+{
+    std::string bytes;
+    //! Close after the bytes; with linger 0 where reset is set.
+    bool close{false};
+    bool reset{false};
+};
+
+using connection_script = std::vector<server_step>;
+
+//! Serves connections one after the other; answers each request by its step.
+class raw_server
+{
+public:
+    explicit raw_server(std::vector<connection_script> scripts)
+        : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0}),
+          worker(
+              [this, scripts = std::move(scripts)]
+              {
+                  for (const auto& script : scripts)
+                  {
+                      this->serve(script);
+                  }
+              })
+    {
+    }
+
+    ~raw_server()
+    {
+        this->worker.join();
+    }
+
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    std::uint32_t port() const
+    {
+        return this->acceptor.local_endpoint().port();
+    }
+
+private:
+    void serve(const connection_script& script)
+    {
+        tcp::socket socket(this->context);
+        this->acceptor.accept(socket);
+        asio::streambuf buffer;
+        std::error_code error;
+        for (const auto& step : script)
+        {
+            const auto length =
+                asio::read_until(socket, buffer, "\r\n\r\n", error);
+            if (error)
+            {
+                return;
+            }
+            buffer.consume(length);
+            asio::write(socket, asio::buffer(step.bytes), error);
+            if (step.reset)
+            {
+                socket.set_option(asio::socket_base::linger(true, 0));
+                //! The destructor would not reset.
+                socket.close();
+            }
+            if (step.close || step.reset)
+            {
+                return;
+            }
+        }
+        //! The client closes when it is done.
+        asio::read_until(socket, buffer, "\r\n\r\n", error);
+    }
+
+    asio::io_context context;
+    tcp::acceptor acceptor;
+    std::thread worker;
+};
+
+std::string answer(const std::string& id, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nid: " + id +
+           "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+//! A client with its own worker.
+class running_client
+{
+public:
+    running_client()
+        : work(asio::make_work_guard(this->context)),
+          client(http::http_client::make_pooled(this->context, {})),
+          worker([this] { this->context.run(); })
+    {
+    }
+
+    ~running_client()
+    {
+        this->work.reset();
+        this->context.stop();
+        this->worker.join();
+    }
+
+    running_client(const running_client&) = delete;
+    running_client& operator=(const running_client&) = delete;
+
+    http::transfer_result
+    get(std::uint32_t port, const std::string& id, std::string body = {})
+    {
+        http::transfer_request request;
+        request.content.method = body.empty() ? "GET" : "POST";
+        request.content.target = "/";
+        request.content.headers = {{"id", id}};
+        request.content.body = std::move(body);
+        request.host = "127.0.0.1";
+        request.port = port;
+        request.answer_id = {"id", id};
+        request.timeout = {1000};
+        std::promise<http::transfer_result> done;
+        auto result = done.get_future();
+        this->client->start(
+            std::move(request), [&](http::transfer_result outcome)
+            { done.set_value(std::move(outcome)); });
+        return result.get();
+    }
+
+private:
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::unique_ptr<http::http_client> client;
+    std::thread worker;
+};
+} // namespace
+
+using http::transfer_outcome;
+
+TEST_CASE("a connection is used again for the next request")
+{
+    raw_server server({{{answer("1", "one")}, {answer("2", "two")}}});
+    running_client client;
+    CHECK(client.get(server.port(), "1").answer.body == "one");
+    CHECK(client.get(server.port(), "2").answer.body == "two");
+}
+
+TEST_CASE("a late second answer is skipped, the own one is taken")
+{
+    raw_server server(
+        {{{answer("1", "one")}, {answer("1", "again") + answer("2", "two")}},
+         {{answer("3", "three")}}});
+    running_client client;
+    CHECK(client.get(server.port(), "1").answer.body == "one");
+    const auto second = client.get(server.port(), "2");
+    CHECK(second.outcome == transfer_outcome::answered);
+    CHECK(second.answer.body == "two");
+    CHECK(client.get(server.port(), "3").answer.body == "three");
+}
+
+TEST_CASE("bytes after an answer end the connection, not the next request")
+{
+    raw_server server(
+        {{{answer("1", "one") + "garbage"}}, {{answer("2", "two")}}});
+    running_client client;
+    CHECK(client.get(server.port(), "1").answer.body == "one");
+    CHECK(client.get(server.port(), "2").answer.body == "two");
+}
+
+TEST_CASE("an answer without a length ends with its connection")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nwhole";
+    SUBCASE("closed: whole")
+    {
+        raw_server server({{{head, true}}});
+        running_client client;
+        const auto result = client.get(server.port(), "1");
+        CHECK(result.outcome == transfer_outcome::answered);
+        CHECK(result.answer.body == "whole");
+    }
+    SUBCASE("reset: not whole")
+    {
+        raw_server server({{{head, false, true}}});
+        running_client client;
+        CHECK(
+            client.get(server.port(), "1").outcome == transfer_outcome::broken);
+    }
+}
+
+TEST_CASE("an answer cut short and one that is no answer are not passed on")
+{
+    const auto cut = answer("1", "some body");
+    raw_server server(
+        {{{cut.substr(0, cut.size() - 3), true}}, {{"no answer\r\n\r\n"}}});
+    running_client client;
+    CHECK(client.get(server.port(), "1").outcome == transfer_outcome::broken);
+    CHECK(client.get(server.port(), "1").outcome == transfer_outcome::broken);
+}
+
+TEST_CASE("an early answer to a long body is taken, its connection is not kept")
+{
+    raw_server server({{{answer("1", "early")}}, {{answer("2", "two")}}});
+    running_client client;
+    constexpr std::size_t long_body = 20U << 20U;
+    CHECK(
+        client.get(server.port(), "1", std::string(long_body, 'x'))
+            .answer.body == "early");
+    CHECK(client.get(server.port(), "2").answer.body == "two");
+}
+
+TEST_CASE("a server that does not listen has run nothing")
+{
+    asio::io_context context;
+    tcp::acceptor closed(context, {asio::ip::make_address("127.0.0.1"), 0});
+    const auto port = closed.local_endpoint().port();
+    closed.close();
+    running_client client;
+    CHECK(client.get(port, "1").outcome == transfer_outcome::unsent);
+}
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -110,7 +110,9 @@
         http::client_limits limits;
         limits.max_answer_bytes = settings.caller.max_answer_bytes;
         limits.max_held_bytes = settings.caller.max_held_bytes;
-        return http::http_client::make(context, limits);
+        return settings.platform.store.empty()
+                   ? http::http_client::make(context, limits)
+                   : http::http_client::make_pooled(context, limits);
     }
 
     void start_workers()
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -84,6 +84,9 @@
     if (this->tables.names)
     {
         this->add_routed_headers(headers, call, remaining);
+        const auto& id = this->tables.names->request_id;
+        transfer.answer_id = {
+            id, std::string(http::find_header(call.call.headers, id))};
         transfer.timeout = remaining;
         return transfer;
     }
