Tell peers of the store's items by digests; count suspended time; spread the watches

Cause: a node that the store turned away kept its old routes and targets; a watch that went silent was noticed only after its wait.

--- a/src/base/internal/time.cpp
+++ b/src/base/internal/time.cpp
@@ -1,11 +1,15 @@
 #include "base/time.hpp"
 
 #include <chrono>
+#include <ctime>
 
 namespace bilberrytally::base
 {
 namespace
 {
+constexpr std::int64_t ms_per_s = 1000;
+constexpr std::int64_t ns_per_ms = 1000000;
+
 template <class Clock>
 std::int64_t read_ms()
 {
@@ -17,7 +21,13 @@
 
 time_ms now()
 {
-    return {read_ms<std::chrono::steady_clock>()};
+    //! Unlike std::chrono's steady clock, this one counts the time in which
+    //! the machine was suspended.
+    timespec boot{};
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    return {
+        static_cast<std::int64_t>(boot.tv_sec) * ms_per_s +
+        boot.tv_nsec / ns_per_ms};
 }
 
 std::uint64_t wall_now_ms()
--- a/src/base/time.hpp
+++ b/src/base/time.hpp
@@ -47,7 +47,8 @@
     }
 };
 
-//! Reads the monotonic clock; it keeps running while the process is stopped.
+//! Reads the monotonic clock; it keeps running while the process is stopped
+//! and while the machine is suspended.
 time_ms now();
 
 //! Reads the wall clock in milliseconds since the epoch.
--- a/src/directory/internal/store_watcher.cpp
+++ b/src/directory/internal/store_watcher.cpp
@@ -9,6 +9,7 @@
 constexpr std::int64_t first_backoff_ms = 100;
 constexpr std::int64_t longest_backoff_ms = 800;
 constexpr std::uint32_t most_doublings = 3;
+constexpr std::int64_t shortest_wait_percent = 30;
 } // namespace
 
 std::string_view to_string(store_failure failure)
@@ -45,17 +46,37 @@
     if (this->snapshot_due)
     {
         this->client->read(
-            this->page_after,
-            [this](const store_result& result) { this->on_page(result); });
+            this->page_after, this->guard(&store_watcher::on_page));
         return;
     }
+    //! Watches of a fleet end at different times, so that the first to find
+    //! the store again tells the others soon.
+    const auto spread =
+        static_cast<std::uint64_t>(std::max<std::int64_t>(wait.count, 1));
+    const base::duration_ms part{
+        wait.count * shortest_wait_percent / 100 +
+        static_cast<std::int64_t>(this->random() % spread) *
+            (100 - shortest_wait_percent) / 100};
     this->client->watch(
-        this->revision, wait,
-        [this](const store_result& result) { this->on_changes(result); });
+        this->revision, part, this->guard(&store_watcher::on_changes));
+}
+
+on_store_result
+store_watcher::guard(void (store_watcher::*handler)(const store_result&))
+{
+    return [this, handler, begun = this->generation](const store_result& result)
+    {
+        if (begun == this->generation)
+        {
+            (this->*handler)(result);
+        }
+    };
 }
 
 void store_watcher::restart()
 {
+    ++this->generation;
+    this->reading = false;
     this->snapshot_due = true;
     this->page_after.clear();
     this->snapshot_keys.clear();
--- a/src/directory/store_watcher.hpp
+++ b/src/directory/store_watcher.hpp
@@ -48,6 +48,9 @@
     base::time_ms last_answer() const;
 
 private:
+    //! Handles results of the present read only: restart() leaves a read
+    //! whose answer may never come.
+    on_store_result guard(void (store_watcher::*handler)(const store_result&));
     void on_page(const store_result& result);
     void on_changes(const store_result& result);
     void on_success(base::time_ms now);
@@ -57,6 +60,7 @@
     watcher_events events;
     std::mt19937_64 random;
     bool reading{false};
+    std::uint64_t generation{0};
     bool snapshot_due{true};
     bool lost{true};
     std::string page_after;
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -1,6 +1,7 @@
 #include "node/internal/directory_follower.hpp"
 
 #include "base/hash.hpp"
+#include "transport/message_codec.hpp"
 
 #include <algorithm>
 
@@ -8,7 +9,12 @@
 {
 namespace
 {
-constexpr base::duration_ms shortest_watch{2500};
+constexpr base::duration_ms digest_interval{500};
+//! Time in which a node's own watch tells it what its peers know.
+constexpr base::duration_ms settle_time{300};
+//! A watch that told nothing for so long of what peers know is left.
+constexpr base::duration_ms watch_lost{600};
+constexpr base::duration_ms shortest_watch{10000};
 constexpr base::duration_ms longest_watch{30000};
 //! Share of the store's rate that waiting watches may take.
 constexpr std::uint64_t watch_share = 4;
@@ -27,7 +33,7 @@
       state(follow_state{
           directory::fleet_view(
               adapter.decode, {tables.settings.platform.removal_hold_ms}),
-          nullptr, false})
+          nullptr, false, std::mt19937_64(tables.incarnation)})
 {
     this->state.with(
         [&](follow_state& state)
@@ -91,13 +97,144 @@
     this->apply(change);
 }
 
-void directory_follower::on_items(
-    const std::vector<schema::published_item>& items)
+void directory_follower::on_digest(const schema::directory_digest& digest)
 {
-    for (const auto& item : items)
+    const auto now = base::now();
+    std::uint64_t own = 0;
+    bool settled = false;
+    this->state.with(
+        [&](follow_state& state)
+        {
+            own = state.view.revision();
+            settled = now - state.advanced >= settle_time;
+            const bool behind = digest.revision > own;
+            if (behind && !state.behind_since)
+            {
+                state.behind_since = now;
+            }
+        });
+    const transport::peer_address peer{digest.host, digest.port};
+    if (digest.revision > own)
+    {
+        const auto link = this->network->link_to(peer);
+        this->network->send(
+            link, transport::frame_kind::item_query,
+            transport::encode(schema::item_query{own}), 0);
+        return;
+    }
+    //! A peer that is behind for longer than its own watch needs is told.
+    if (digest.revision < own && settled)
+    {
+        this->on_query(this->network->link_to(peer), {digest.revision});
+    }
+}
+
+void directory_follower::on_query(
+    transport::link_id link, const schema::item_query& query)
+{
+    schema::item_list list;
+    this->state.with(
+        [&](follow_state& state)
+        {
+            list.items = state.view.items_after(query.after);
+            list.revision = state.view.revision();
+        });
+    this->network->send(
+        link, transport::frame_kind::item_list, transport::encode(list), 0);
+}
+
+void directory_follower::on_items(const schema::item_list& list)
+{
+    const auto before = this->state.with(
+        [](follow_state& state) { return state.view.revision(); });
+    for (const auto& item : list.items)
     {
         this->on_item(item);
     }
+    if (list.revision > before && !list.items.empty())
+    {
+        this->tables.note(
+            {0, "items_from_peer", 0, 0, "",
+             "after=" + std::to_string(before) +
+                 " revision=" + std::to_string(list.revision) +
+                 " items=" + std::to_string(list.items.size())});
+    }
+}
+
+std::optional<transport::peer_address>
+directory_follower::pick_peer(follow_state& state) const
+{
+    const auto& own = this->tables.settings.node;
+    std::vector<std::string> hosts;
+    for (const auto& target : state.view.all_targets())
+    {
+        if (target.host != own.address)
+        {
+            hosts.push_back(target.host);
+        }
+    }
+    if (hosts.empty())
+    {
+        return std::nullopt;
+    }
+    return transport::peer_address{
+        hosts[state.random() % hosts.size()], own.node_port};
+}
+
+void directory_follower::send_digest(base::time_ms now)
+{
+    const auto& own = this->tables.settings.node;
+    schema::directory_digest digest{own.address, own.node_port, 0};
+    const auto peer = this->state.with(
+        [&](follow_state& state) -> std::optional<transport::peer_address>
+        {
+            if (now < state.next_digest)
+            {
+                return std::nullopt;
+            }
+            state.next_digest = now + digest_interval;
+            digest.revision = state.view.revision();
+            return this->pick_peer(state);
+        });
+    if (peer)
+    {
+        this->network->send_datagram(
+            *peer, transport::frame_kind::directory_digest,
+            transport::encode(digest));
+    }
+}
+
+void directory_follower::check_progress(base::time_ms now)
+{
+    bool restarted = false;
+    this->state.with(
+        [&](follow_state& state)
+        {
+            const auto revision = state.view.revision();
+            if (revision != state.advanced_to)
+            {
+                state.advanced_to = revision;
+                state.advanced = now;
+            }
+            const bool heard =
+                state.behind_since &&
+                state.watcher->last_answer() >= *state.behind_since;
+            if (heard)
+            {
+                state.behind_since.reset();
+            }
+            if (state.behind_since && now - *state.behind_since >= watch_lost &&
+                !state.watcher->is_lost())
+            {
+                state.behind_since.reset();
+                state.watcher->restart();
+                restarted = true;
+            }
+        });
+    if (restarted)
+    {
+        this->tables.note({0, "watch_silent", 0, 0, "", "read anew"});
+    }
 }
 
 void directory_follower::apply(const directory::view_change& change)
@@ -234,6 +371,8 @@
             return state.view.tick(now);
         });
     this->apply(change);
+    this->send_digest(now);
+    this->check_progress(now);
 }
 
 void directory_follower::on_woke()
--- a/src/node/internal/directory_follower.hpp
+++ b/src/node/internal/directory_follower.hpp
@@ -9,6 +9,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -30,7 +32,9 @@
     //! This process stood still: what it knows may be old.
     void on_woke();
 
-    void on_items(const std::vector<schema::published_item>& items);
+    void on_digest(const schema::directory_digest& digest);
+    void on_query(transport::link_id link, const schema::item_query& query);
+    void on_items(const schema::item_list& list);
 
     //! Routes and targets are known.
     bool is_ready();
@@ -42,8 +46,19 @@
         directory::fleet_view view;
         std::unique_ptr<directory::store_watcher> watcher;
         bool snapshot_known{false};
+        std::mt19937_64 random;
+        base::time_ms next_digest{INT64_MIN / 2};
+        //! When this node came to know its highest revision.
+        base::time_ms advanced{INT64_MIN / 2};
+        std::uint64_t advanced_to{0};
+        //! Peers knew more than the store's watch told since then.
+        std::optional<base::time_ms> behind_since;
     };
 
+    void send_digest(base::time_ms now);
+    void check_progress(base::time_ms now);
+    std::optional<transport::peer_address> pick_peer(follow_state& state) const;
+
     directory::watcher_events make_events();
     void on_item(const schema::published_item& item);
     void apply(const directory::view_change& change);
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -188,6 +188,11 @@
         {
             return {};
         }
+        if (this->tables.settings.node.workers != 1)
+        {
+            return base::fail(
+                "[node] workers", "expected 1 with [platform] store");
+        }
         BOOST_LEAF_AUTO(
             client, this->adapter.make_store(this->context, store));
         this->directory = std::make_unique<directory_follower>(
@@ -320,7 +325,19 @@
     on_document_frame(transport::link_id link, const transport::frame& frame)
     {
         using transport::frame_kind;
-        if (frame.kind == frame_kind::document)
+        if (frame.kind == frame_kind::item_query && this->directory)
+        {
+            this->decoded<schema::item_query>(
+                frame, [&](const auto& query)
+                { this->directory->on_query(link, query); });
+        }
+        else if (frame.kind == frame_kind::item_list && this->directory)
+        {
+            this->decoded<schema::item_list>(
+                frame, [&](const auto& list)
+                { this->directory->on_items(list); });
+        }
+        else if (frame.kind == frame_kind::document)
         {
             this->decoded<schema::document>(
                 frame,
@@ -361,6 +378,13 @@
     void on_datagram(const transport::frame& frame)
     {
         this->tables.events.observe(frame.logical_time);
+        if (frame.kind == transport::frame_kind::directory_digest &&
+            this->directory)
+        {
+            this->decoded<schema::directory_digest>(
+                frame, [&](const auto& digest)
+                { this->directory->on_digest(digest); });
+        }
         if (frame.kind == transport::frame_kind::digest)
         {
             this->decoded<schema::digest>(
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -285,6 +285,54 @@
         archive(this->key, this->value, this->revision, this->removed);
     }
 };
+//! Datagram by which nodes compare what they know of the store.
+struct directory_digest
+{
+    //! Sender's address.
+    std::string host{};
+    //! Sender's node port.
+    std::uint32_t port{0};
+    //! Highest revision of the store that the sender knows.
+    std::uint64_t revision{0};
+
+    bool operator==(const directory_digest&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->host, this->port, this->revision);
+    }
+};
+//! Asks a node for items of the store.
+struct item_query
+{
+    //! Items changed after this revision are missing.
+    std::uint64_t after{0};
+
+    bool operator==(const item_query&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->after);
+    }
+};
+//! Items of the store, for a node that lacks them.
+struct item_list
+{
+    //! Items, in any order.
+    std::vector<published_item> items{};
+    //! Revision up to which the items are complete.
+    std::uint64_t revision{0};
+
+    bool operator==(const item_list&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->items, this->revision);
+    }
+};
 //! A ticket or an instance list as published.
 struct document
 {
--- a/src/transport/frame.hpp
+++ b/src/transport/frame.hpp
@@ -23,6 +23,9 @@
     digest,
     ping,
     pong,
+    directory_digest,
+    item_query,
+    item_list,
 };
 
 //! Fixed part before each body, in the byte order of the wire.
