--- /dev/null
+++ b/src/decisions/tests/attempt_rule_test.cpp
@@ -0,0 +1,112 @@
+#include "decisions/attempt_rule.hpp"
+
+#include "decisions/retry_budget.hpp"
+#include "decisions/target_table.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bilberrytally;
+using namespace bilberrytally::decisions;
+using base::verdict;
+using schema::refusal;
+
+namespace
+{
+schema::answer make_answer(
+    verdict outcome, refusal reason, std::uint32_t status = 0,
+    bool failed_below = false)
+{
+    schema::answer answer;
+    answer.verdict = static_cast<std::uint32_t>(outcome);
+    answer.reason = reason;
+    answer.status = status;
+    answer.failed_below = failed_below;
+    return answer;
+}
+constexpr attempt_limits once{false, 2};
+constexpr attempt_limits repeatable{true, 2};
+} // namespace
+
+TEST_CASE("what may have run is never sent again where it must run once")
+{
+    for (const auto reason :
+         {refusal::connection_lost, refusal::timeout, refusal::protocol})
+    {
+        const auto answer = make_answer(verdict::may_have_run, reason);
+        CHECK(after_attempt(answer, once, {1, 0}) == next_step::finish);
+        CHECK(after_attempt(answer, repeatable, {1, 0}) == next_step::retry);
+    }
+    const auto failed = make_answer(verdict::ran, refusal::none, 500);
+    CHECK(after_attempt(failed, once, {1, 0}) == next_step::finish);
+    CHECK(after_attempt(failed, repeatable, {1, 0}) == next_step::retry);
+}
+
+TEST_CASE("an attempt that no backend server saw costs no retry")
+{
+    const auto answer = make_answer(verdict::not_run, refusal::overload);
+    CHECK(after_attempt(answer, once, {0, 1}) == next_step::reroute);
+    CHECK(after_attempt(answer, once, {0, 2}) == next_step::reroute);
+    CHECK(after_attempt(answer, once, {0, 3}) == next_step::finish);
+    const auto shed = make_answer(verdict::not_run, refusal::shed_by_backend);
+    CHECK(after_attempt(shed, once, {1, 0}) == next_step::retry);
+}
+
+TEST_CASE("a request reaches no more backend servers than its route allows")
+{
+    const auto shed = make_answer(verdict::not_run, refusal::shed_by_backend);
+    CHECK(after_attempt(shed, repeatable, {2, 0}) == next_step::finish);
+    const auto refused = make_answer(verdict::not_run, refusal::overload);
+    CHECK(after_attempt(refused, repeatable, {2, 0}) == next_step::finish);
+}
+
+TEST_CASE("a failure that a call further down caused is not repeated here")
+{
+    const auto below = make_answer(verdict::ran, refusal::none, 500, true);
+    CHECK(after_attempt(below, repeatable, {1, 0}) == next_step::finish);
+}
+
+TEST_CASE("a served request is done")
+{
+    const auto served = make_answer(verdict::ran, refusal::none, 200);
+    CHECK(after_attempt(served, repeatable, {1, 0}) == next_step::finish);
+}
+
+TEST_CASE("the retries of a fleet stay within its budget in any window")
+{
+    constexpr int nodes = 12;
+    constexpr double extra = 47;
+    constexpr double ratio = 0.2;
+    constexpr double share = 0.4;
+    int retries = 0;
+    constexpr int calls_per_node = 200;
+    for (int node = 0; node < nodes; ++node)
+    {
+        retry_ratio tokens;
+        tokens.set_limits(ratio * share, extra * share / nodes);
+        for (int i = 0; i < calls_per_node; ++i)
+        {
+            tokens.on_fresh_call("s");
+            retries += tokens.allow_retry("s") ? 1 : 0;
+        }
+    }
+    CHECK(retries <= nodes * calls_per_node * ratio + extra);
+    CHECK(retries >= nodes * calls_per_node * ratio * share * 0.8);
+}
+
+TEST_CASE("the target of a node that restarted is found again")
+{
+    target_table table("x", "a");
+    table.set_drain_lapse({1000});
+    schema::instance_list list;
+    list.instances = {
+        {"i0", "a", "10.0.0.1", 7000, schema::instance_state::live}};
+    table.apply(list, {0});
+    table.on_node_state("10.0.0.1", 7000, true, {100});
+    std::mt19937_64 random(1);
+    CHECK_FALSE(table.choose({}, random, {200}));
+    CHECK(table.choose({}, random, {1100}));
+    table.on_node_state("10.0.0.1", 7000, true, {1200});
+    CHECK_FALSE(table.choose({}, random, {1300}));
+    table.on_node_state("10.0.0.1", 7000, false, {1400});
+    CHECK(table.choose({}, random, {1500}));
+}
--- /dev/null
+++ b/src/directory/tests/fleet_view_test.cpp
@@ -0,0 +1,140 @@
+#include "directory/fleet_view.hpp"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+
+using namespace bilberrytally;
+using namespace bilberrytally::directory;
+
+namespace
+{
+constexpr base::duration_ms hold{2000};
+
+//! Keys "t/ID" hold "SERVICE" or "SERVICE draining"; "c" holds a version.
+decoded_item decode(const schema::published_item& item)
+{
+    if (item.key == "c")
+    {
+        fleet_configuration configuration;
+        configuration.version = std::strtoull(item.value.c_str(), nullptr, 10);
+        return configuration;
+    }
+    if (item.removed)
+    {
+        return removed_target{item.key.substr(2)};
+    }
+    if (item.value == "broken")
+    {
+        return unreadable_item{"broken"};
+    }
+    target_entry target;
+    target.instance = item.key.substr(2);
+    target.service = item.value.substr(0, item.value.find(' '));
+    target.phase = item.value.ends_with("draining") ? target_phase::draining
+                                                    : target_phase::ready;
+    return target;
+}
+
+schema::published_item
+item(const std::string& key, const std::string& value, std::uint64_t revision)
+{
+    return {key, value, revision, value.empty()};
+}
+} // namespace
+
+TEST_CASE("a newer revision of an item wins, whatever the order")
+{
+    fleet_view view(decode, hold);
+    CHECK(view.merge(item("t/1", "s draining", 7), {0}).services.size() == 1);
+    CHECK(view.merge(item("t/1", "s", 5), {0}).services.empty());
+    REQUIRE(view.targets("s").size() == 1);
+    CHECK(view.targets("s")[0].phase == target_phase::draining);
+    CHECK(view.revision() == 7);
+}
+
+TEST_CASE("the configuration with the highest version stays for good")
+{
+    fleet_view view(decode, hold);
+    CHECK(view.merge(item("c", "5", 1), {0}).configuration);
+    CHECK_FALSE(view.merge(item("c", "4", 2), {0}).configuration);
+    CHECK(view.configuration()->version == 5);
+    CHECK(view.merge(item("c", "9", 3), {0}).configuration);
+}
+
+TEST_CASE("an unreadable entry names no target, the others hold")
+{
+    fleet_view view(decode, hold);
+    view.merge(item("t/1", "s", 1), {0});
+    view.merge(item("t/2", "s", 2), {0});
+    CHECK(view.merge(item("t/1", "broken", 3), {0}).problem == "broken");
+    REQUIRE(view.targets("s").size() == 1);
+    CHECK(view.targets("s")[0].instance == "2");
+}
+
+TEST_CASE("a target that moved to another service changes both")
+{
+    fleet_view view(decode, hold);
+    view.merge(item("t/1", "s", 1), {0});
+    const auto change = view.merge(item("t/1", "z", 2), {0});
+    CHECK(change.services == std::vector<std::string>{"s", "z"});
+    CHECK(view.targets("s").empty());
+    CHECK(view.targets("z").size() == 1);
+}
+
+TEST_CASE("a removal counts at once while the store is sound")
+{
+    fleet_view view(decode, hold);
+    view.merge(item("t/1", "s", 1), {0});
+    view.merge(item("t/1", "", 2), {100});
+    CHECK(view.targets("s").empty());
+}
+
+TEST_CASE("after an outage a removed target has two seconds to come back")
+{
+    fleet_view view(decode, hold);
+    view.merge(item("t/1", "s", 1), {0});
+    view.merge(item("t/2", "s", 2), {0});
+    view.merge(item("t/3", "s draining", 3), {0});
+    view.on_store_regained({10000});
+    for (const auto* key : {"t/1", "t/2", "t/3"})
+    {
+        view.merge(item(key, "", 9), {10100});
+    }
+    //! A target that was leaving is gone.
+    CHECK(view.targets("s").size() == 2);
+    view.merge(item("t/1", "s", 10), {11000});
+    CHECK(view.tick({11900}).services.empty());
+    CHECK(view.tick({12000}).services == std::vector<std::string>{"s"});
+    REQUIRE(view.targets("s").size() == 1);
+    CHECK(view.targets("s")[0].instance == "1");
+}
+
+TEST_CASE("a read of all items removes what it did not list")
+{
+    fleet_view view(decode, hold);
+    view.merge(item("t/1", "s", 1), {0});
+    view.merge(item("t/2", "s", 2), {0});
+    view.merge(item("t/3", "s", 30), {0});
+    view.end_snapshot({"t/1"}, 20, {0});
+    //! The third was written after the read began.
+    CHECK(view.targets("s").size() == 2);
+}
+
+TEST_CASE("a peer gets the items that it lacks, removals too")
+{
+    fleet_view view(decode, hold);
+    view.merge(item("c", "1", 1), {0});
+    view.merge(item("t/1", "s", 2), {0});
+    view.merge(item("t/2", "s", 3), {0});
+    view.merge(item("t/1", "", 4), {0});
+    fleet_view peer(decode, hold);
+    for (const auto& missing : view.items_after(0))
+    {
+        peer.merge(missing, {0});
+    }
+    CHECK(peer.revision() == 4);
+    CHECK(peer.targets("s") == view.targets("s"));
+    CHECK(view.items_after(3).size() == 1);
+    CHECK(view.items_after(4).empty());
+}
--- /dev/null
+++ b/src/directory/tests/store_watcher_test.cpp
@@ -0,0 +1,161 @@
+#include "directory/store_watcher.hpp"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+using namespace bilberrytally;
+using namespace bilberrytally::directory;
+
+namespace
+{
+//! Keeps the calls of a watcher until the test answers them.
+class scripted_store : public store_client
+{
+public:
+    struct call
+    {
+        bool watch{false};
+        std::string after;
+        std::uint64_t revision{0};
+        base::duration_ms wait;
+        on_store_result done;
+    };
+
+    explicit scripted_store(std::vector<call>& calls) : calls(calls)
+    {
+    }
+
+    void read(const std::string& after, on_store_result done) override
+    {
+        this->calls.push_back({false, after, 0, {}, std::move(done)});
+    }
+
+    void watch(
+        std::uint64_t revision, base::duration_ms wait,
+        on_store_result done) override
+    {
+        this->calls.push_back({true, "", revision, wait, std::move(done)});
+    }
+
+private:
+    std::vector<call>& calls;
+};
+
+struct fixture
+{
+    std::vector<scripted_store::call> calls;
+    std::vector<std::string> items;
+    std::vector<std::string> snapshot;
+    std::uint64_t snapshot_revision{0};
+    int lost{0};
+    int regained{0};
+    store_watcher watcher{
+        std::make_unique<scripted_store>(calls),
+        {[this](const auto& item) { this->items.push_back(item.key); },
+         [this](const auto& keys, std::uint64_t revision)
+         {
+             this->snapshot = keys;
+             this->snapshot_revision = revision;
+         },
+         [this](const auto&) { ++this->lost; },
+         [this](base::duration_ms) { ++this->regained; }},
+        1};
+
+    void tick()
+    {
+        this->watcher.tick(base::now() + base::duration_ms{5000}, {10000});
+    }
+};
+
+schema::published_item item(const std::string& key, std::uint64_t revision)
+{
+    return {key, "v", revision, false};
+}
+} // namespace
+
+TEST_CASE("all pages are read, then changes since the first page are awaited")
+{
+    fixture test;
+    test.tick();
+    REQUIRE(test.calls.size() == 1);
+    test.calls[0].done(store_page{{item("a", 1), item("b", 2)}, true, 10});
+    test.tick();
+    REQUIRE(test.calls.size() == 2);
+    CHECK(test.calls[1].after == "b");
+    test.calls[1].done(store_page{{item("c", 11)}, false, 12});
+    CHECK(test.snapshot == std::vector<std::string>{"a", "b", "c"});
+    CHECK(test.snapshot_revision == 10);
+    test.tick();
+    REQUIRE(test.calls.size() == 3);
+    CHECK(test.calls[2].watch);
+    CHECK(test.calls[2].revision == 10);
+    CHECK(test.calls[2].wait >= base::duration_ms{3000});
+    CHECK(test.calls[2].wait <= base::duration_ms{10000});
+    test.calls[2].done(store_page{{item("d", 13)}, false, 13});
+    test.tick();
+    CHECK(test.calls[3].revision == 13);
+    CHECK(test.items == std::vector<std::string>{"a", "b", "c", "d"});
+}
+
+TEST_CASE("a gone history is read anew at once")
+{
+    fixture test;
+    test.tick();
+    test.calls[0].done(store_page{{item("a", 1)}, false, 10});
+    test.tick();
+    test.calls[1].done(store_error{store_failure::history_gone, "410"});
+    CHECK(test.lost == 0);
+    test.watcher.tick(base::now(), {10000});
+    REQUIRE(test.calls.size() == 3);
+    CHECK_FALSE(test.calls[2].watch);
+}
+
+TEST_CASE("a failed read backs off, and the watch goes on where it was")
+{
+    fixture test;
+    test.tick();
+    test.calls[0].done(store_page{{item("a", 1)}, false, 10});
+    test.tick();
+    test.calls[1].done(store_error{store_failure::refused, "503"});
+    CHECK(test.lost == 1);
+    CHECK(test.watcher.is_lost());
+    test.watcher.tick(base::now(), {10000});
+    CHECK(test.calls.size() == 2);
+    test.tick();
+    REQUIRE(test.calls.size() == 3);
+    CHECK(test.calls[2].revision == 10);
+    test.calls[2].done(store_page{{}, false, 11});
+    CHECK(test.regained == 2);
+}
+
+TEST_CASE("pages of a read that failed are not joined with those of the next")
+{
+    fixture test;
+    test.tick();
+    test.calls[0].done(store_page{{item("a", 1)}, true, 10});
+    test.tick();
+    test.calls[1].done(store_error{store_failure::unavailable, "cut"});
+    test.tick();
+    REQUIRE(test.calls.size() == 3);
+    CHECK(test.calls[2].after.empty());
+    test.calls[2].done(store_page{{item("b", 2)}, false, 20});
+    CHECK(test.snapshot == std::vector<std::string>{"b"});
+    CHECK(test.snapshot_revision == 20);
+}
+
+TEST_CASE("a watch that was left does not move the present one")
+{
+    fixture test;
+    test.tick();
+    test.calls[0].done(store_page{{item("a", 1)}, false, 10});
+    test.tick();
+    test.watcher.restart();
+    test.tick();
+    REQUIRE(test.calls.size() == 3);
+    test.calls[1].done(store_page{{item("late", 50)}, false, 50});
+    CHECK(test.items == std::vector<std::string>{"a"});
+    test.calls[2].done(store_page{{item("a", 1)}, false, 12});
+    test.tick();
+    CHECK(test.calls[3].revision == 12);
+}
