--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -30,6 +30,7 @@
     std::unique_ptr<directory::store_client> store,
     std::function<void(const schema::service_policy&)> on_own_policy)
     : tables(tables), on_own_policy(std::move(on_own_policy)),
+      fleet(tables.settings.fleet),
       state(follow_state{
           directory::fleet_view(
               adapter.decode, {tables.settings.platform.removal_hold_ms}),
@@ -254,18 +255,24 @@
     }
 }
 
+void directory_follower::set_fleet(
+    const schema::node_settings::fleet_section& fleet)
+{
+    this->fleet = fleet;
+    this->apply_retry_limits();
+}
+
 void directory_follower::apply_retry_limits()
 {
     const auto nodes = this->state.with(
         [](follow_state& state) { return state.view.all_targets().size(); });
-    const auto& fleet = this->tables.settings.fleet;
-    const auto part = fleet.retry_extra * retry_share /
+    const auto part = this->fleet.retry_extra * retry_share /
                       static_cast<double>(std::max<std::size_t>(nodes, 1));
     this->tables.routing.with(
         [&](routing_table& table)
         {
             table.retries.set_limits(
-                fleet.retry_ratio * retry_share, std::max(part, 1.0));
+                this->fleet.retry_ratio * retry_share, std::max(part, 1.0));
         });
 }
 
--- a/src/node/internal/directory_follower.hpp
+++ b/src/node/internal/directory_follower.hpp
@@ -36,6 +36,9 @@
     void on_query(transport::link_id link, const schema::item_query& query);
     void on_items(const schema::item_list& list);
 
+    //! Takes the fleet's bounds of new settings.
+    void set_fleet(const schema::node_settings::fleet_section& fleet);
+
     //! Routes and targets are known.
     bool is_ready();
     std::uint64_t store_reads();
@@ -71,6 +74,7 @@
 
     node_tables& tables;
     std::function<void(const schema::service_policy&)> on_own_policy;
+    schema::node_settings::fleet_section fleet;
     transport::peer_network* network{nullptr};
     base::guarded<follow_state, documents_rank> state;
 };
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -4,6 +4,7 @@
 #include "node/internal/admin_api.hpp"
 #include "node/internal/caller_side.hpp"
 #include "node/internal/directory_follower.hpp"
+#include "node/internal/settings_file.hpp"
 #include "node/internal/spreader.hpp"
 #include "node/internal/target_side.hpp"
 #include "transport/message_codec.hpp"
@@ -27,6 +28,7 @@
 constexpr std::chrono::milliseconds tick_interval{10};
 constexpr base::duration_ms last_requests{200};
 constexpr base::duration_ms silence_interval{200};
+constexpr base::duration_ms settings_interval{1000};
 constexpr int exit_cut = 3;
 constexpr std::uint32_t ok_status = 200;
 constexpr std::uint32_t unavailable = 503;
@@ -38,8 +40,9 @@
 {
 public:
     running_node(
-        const schema::node_settings& settings, platform_adapter adapter)
-        : adapter(std::move(adapter)), work(asio::make_work_guard(this->context)),
+        const schema::node_settings& settings, const std::string& file,
+        platform_adapter adapter)
+        : adapter(std::move(adapter)), watched_settings(settings, file), work(asio::make_work_guard(this->context)),
           tables(this->context, settings, base::random_bits()),
           targets(this->tables, make_client(this->context, settings)),
           callers(this->tables, this->targets), signals(this->context),
@@ -420,14 +423,21 @@
             this->signals_added = true;
             this->signals.add(SIGTERM);
             this->signals.add(SIGINT);
+            this->signals.add(SIGHUP);
         }
         this->signals.async_wait(
-            [this](std::error_code error, int)
+            [this](std::error_code error, int signal)
             {
                 if (error)
                 {
                     return;
                 }
+                if (signal == SIGHUP)
+                {
+                    this->reload("signal");
+                    this->wait_for_signal();
+                    return;
+                }
                 if (this->stopping)
                 {
                     this->cut_and_stop("second signal");
@@ -441,9 +451,30 @@
             });
     }
 
+    void reload(const char* cause)
+    {
+        const auto outcome = this->watched_settings.read_again();
+        this->tables.note(
+            {0, "settings_" + std::string(to_string(outcome.kind)), 0, 0, "",
+             "cause=" + std::string(cause) + " detail=\"" + outcome.detail +
+                 "\""});
+        if (outcome.kind != reload_kind::rejected && this->directory)
+        {
+            this->directory->set_fleet(this->watched_settings.current().fleet);
+        }
+    }
+
     void tick()
     {
         const auto now = base::now();
+        if (now - this->last_settings_check >= settings_interval)
+        {
+            this->last_settings_check = now;
+            if (this->watched_settings.has_changed())
+            {
+                this->reload("file");
+            }
+        }
         const auto gap = this->tables.freezes.on_tick(now);
         if (gap.count > 0)
         {
@@ -525,6 +556,8 @@
     }
 
     platform_adapter adapter;
+    settings_file watched_settings;
+    base::time_ms last_settings_check;
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     node_tables tables;
@@ -555,9 +588,10 @@
 
 base::result<std::unique_ptr<node>>
 node::start(
-    const schema::node_settings& settings, const platform_adapter& adapter)
+    const schema::node_settings& settings, const std::string& file,
+    const platform_adapter& adapter)
 {
-    auto fresh = std::make_unique<running_node>(settings, adapter);
+    auto fresh = std::make_unique<running_node>(settings, file, adapter);
     BOOST_LEAF_CHECK(fresh->open());
     return std::unique_ptr<node>(std::move(fresh));
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -5,6 +5,7 @@
 #include "schema/settings.hpp"
 
 #include <memory>
+#include <string>
 
 //! The process beside each backend server instance.
 namespace bilberrytally::node
@@ -15,8 +16,11 @@
 public:
     //! Opens all ports and starts the workers.
     //! \p adapter is how the platform of the settings' store speaks.
+    //! The settings are read again from \p file on SIGHUP and when the file
+    //! changes; an empty name for settings that have no file.
     static base::result<std::unique_ptr<node>> start(
-        const schema::node_settings& settings, const platform_adapter& adapter);
+        const schema::node_settings& settings, const std::string& file,
+        const platform_adapter& adapter);
 
     virtual ~node() = default;
 
