--- a/src/decisions/internal/reroute_delay.cpp
+++ b/src/decisions/internal/reroute_delay.cpp
@@ -20,6 +20,11 @@
         descendants == 0 ? this->answers_without_descendants + 1 : 0;
 }
 
+double reroute_delay::usual() const
+{
+    return this->latencies.mean();
+}
+
 std::optional<base::duration_ms> reroute_delay::delay() const
 {
     if (this->answers_without_descendants < min_samples)
--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -29,6 +29,10 @@
 //! times the best of all.
 constexpr double zone_preference = 3.0;
 constexpr std::uint32_t no_floor = 255;
+constexpr base::duration_ms report_lifetime{2000};
+//! A target with more of its slots in use gets no second attempts of slow
+//! calls.
+constexpr double spare_share = 0.6;
 } // namespace
 
 std::string_view to_string(target_state state)
@@ -146,6 +150,22 @@
     return any && random() % floor_probe_one_in != 0;
 }
 
+bool target_table::has_spare_target(
+    const std::set<std::string>& excluded, base::time_ms now) const
+{
+    return std::any_of(
+        this->subset.begin(), this->subset.end(),
+        [&](const auto& id)
+        {
+            const auto& candidate = this->targets.at(id);
+            const bool fresh = now - candidate.reported_at < report_lifetime;
+            const auto used = static_cast<double>(candidate.reported_in_flight);
+            return excluded.count(id) == 0 && fresh &&
+                   this->state_of(candidate, now) == target_state::available &&
+                   used < spare_share * candidate.reported_limit;
+        });
+}
+
 void target_table::on_dispatch(const std::string& instance, base::time_ms now)
 {
     const auto found = this->targets.find(instance);
@@ -180,6 +200,7 @@
     {
         target.reported_in_flight = result.load.in_flight;
         target.reported_limit = result.load.limit;
+        target.reported_at = now;
         target.draining = result.load.draining;
         target.drained_at = now;
         target.floor = result.load.floor;
@@ -468,8 +489,15 @@
     std::vector<target*>& pool, std::mt19937_64& random,
     base::time_ms now) const
 {
-    auto* first = pool[random() % pool.size()];
-    auto* second = pool[random() % pool.size()];
+    if (pool.size() == 1)
+    {
+        return pool.front();
+    }
+    //! Two different ones: the worst of all is never chosen.
+    const auto one = random() % pool.size();
+    const auto other = (one + 1 + random() % (pool.size() - 1)) % pool.size();
+    auto* first = pool[one];
+    auto* second = pool[other];
     return this->cost(*first, now) <= this->cost(*second, now) ? first : second;
 }
 
--- a/src/decisions/reroute_delay.hpp
+++ b/src/decisions/reroute_delay.hpp
@@ -21,6 +21,9 @@
     //! Time after which a call is sent elsewhere; nothing while unknown.
     std::optional<base::duration_ms> delay() const;
 
+    //! Mean latency, ms; 0 while unknown.
+    double usual() const;
+
 private:
     latency_histogram latencies;
     std::uint64_t answers_without_descendants{0};
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -91,6 +91,10 @@
         std::uint32_t priority, std::mt19937_64& random,
         base::time_ms now) const;
 
+    //! True if a target outside \p excluded reported free slots lately.
+    bool has_spare_target(
+        const std::set<std::string>& excluded, base::time_ms now) const;
+
     void on_dispatch(const std::string& instance, base::time_ms now);
     void on_result(
         const std::string& instance, const dispatch_result& result,
@@ -135,6 +139,7 @@
         std::uint32_t in_flight{0};
         std::uint32_t reported_in_flight{0};
         std::uint32_t reported_limit{0};
+        base::time_ms reported_at{INT64_MIN / 2};
         std::uint32_t failures{0};
         //! Start of the present wait for any answer.
         base::time_ms silent_since;
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -289,17 +289,26 @@
     call->reply(std::move(answer));
 }
 
-void caller_side::stop_attempt(const origin_call& call)
+void caller_side::stop_attempts(const origin_call& call)
 {
-    if (call.local_serving != 0)
+    this->stop_attempt(call.present());
+    if (call.earlier)
     {
-        this->targets.cancel(call.local_serving);
+        this->stop_attempt(*call.earlier);
     }
-    else if (call.attempt != 0 && call.link != 0)
+}
+
+void caller_side::stop_attempt(const attempt_state& state)
+{
+    if (state.local_serving != 0)
+    {
+        this->targets.cancel(state.local_serving);
+    }
+    else if (state.attempt != 0 && state.link != 0)
     {
         this->network->send(
-            call.link, transport::frame_kind::cancel,
-            transport::encode(schema::cancel{call.attempt}), 0);
+            state.link, transport::frame_kind::cancel,
+            transport::encode(schema::cancel{state.attempt}), 0);
     }
 }
 
@@ -316,7 +325,7 @@
         });
     if (snapshot)
     {
-        this->stop_attempt(*snapshot);
+        this->stop_attempts(*snapshot);
         this->complete(
             id, make_refusal(verdict::may_have_run, refusal::cancelled));
     }
@@ -392,7 +401,7 @@
         });
     for (const auto& call : late)
     {
-        this->stop_attempt(call);
+        this->stop_attempts(call);
         this->complete(
             call.id, make_refusal(verdict::may_have_run, refusal::timeout));
         this->tables.with_targets(
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -79,6 +79,7 @@
     make_routed_reply(const origin_call& call, http::respond respond);
     bool may_retry_routed(origin_call& call, const schema::answer& answer);
     bool has_untried_target(const origin_call& call);
+    bool has_spare_target(const origin_call& call);
     void log_outcome(
         const origin_call& call, const schema::answer& answer) const;
     //! When a refused caller is to come back.
@@ -105,13 +106,26 @@
     void plan_reroute(origin_table& table, const origin_call& call);
     void reroute_slow(base::time_ms now);
     void give_up_late(base::time_ms now);
-    void report_result(const origin_call& call, const attempt_end& end);
+    void report_result(
+        const origin_call& call, const attempt_state& state,
+        const attempt_end& end);
     bool may_retry(origin_call& call, const schema::answer& answer);
     void prepare_retry(origin_call& call, const schema::answer& answer);
     void complete(std::uint64_t id, schema::answer answer);
     void complete_key(const origin_call& call, const schema::answer& answer);
     void cancel(std::uint64_t id);
-    void stop_attempt(const origin_call& call);
+    //! Cancels all attempts in progress.
+    void stop_attempts(const origin_call& call);
+    void stop_attempt(const attempt_state& state);
+    //! Sends a slow call to another target too.
+    void hedge(std::uint64_t attempt);
+    //! One of two attempts ended. Returns true where the call waits for the
+    //! other one, which is put into \p superfluous where it is not needed.
+    bool settle_hedge(
+        origin_table& table, origin_call& call, std::uint64_t attempt,
+        const attempt_end& end, attempt_state& superfluous);
+    //! Goes on with the earlier attempt alone; false where there is none.
+    static bool return_to_earlier(origin_call& call);
 
     node_tables& tables;
     target_side& targets;
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -2,6 +2,7 @@
 #include "transport/message_codec.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 //! The parts of caller_side that choose targets, dispatch and retry.
 namespace bilberrytally::node
@@ -22,6 +23,24 @@
                : call.history.arrivals + 1 < call.limits.max_attempts;
 }
 
+//! Latency as a percentage of the usual one of the request's group, so that
+//! targets that got long requests do not look slow. Milliseconds where groups
+//! are not told apart.
+base::duration_ms relative_latency(
+    routing_table& table, const origin_call& call, base::duration_ms latency,
+    bool grouped)
+{
+    constexpr double percent = 100;
+    const double usual =
+        grouped ? table.delays[call.latency_group].usual() : 0;
+    if (usual <= 0)
+    {
+        return latency;
+    }
+    return {static_cast<std::int64_t>(
+        std::lround(percent * static_cast<double>(latency.count) / usual))};
+}
+
 //! Without published routes, all requests of a service are one group.
 const std::string& latency_group(const origin_call& call)
 {
@@ -145,18 +164,24 @@
 void caller_side::refuse_dispatch(std::uint64_t id, schema::refusal reason)
 {
     schema::answer answer;
+    bool waits = false;
     this->origins.with(
         [&](origin_table& table)
         {
             const auto found = table.calls.find(id);
             if (found != table.calls.end())
             {
-                const auto& call = found->second;
+                auto& call = found->second;
+                waits = return_to_earlier(call);
                 answer = call.route == route_kind::home
                              ? refuse_before_home(call.call, reason)
                              : make_refusal(verdict::not_run, reason);
             }
         });
+    if (waits)
+    {
+        return;
+    }
     this->complete(id, std::move(answer));
 }
 
@@ -238,7 +263,10 @@
                 return;
             }
             const auto& call = table.calls.at(found->second);
-            expected = call.link == link && call.call.digest == answer.digest;
+            const bool by_link =
+                call.link == link ||
+                (call.earlier && call.earlier->link == link);
+            expected = by_link && call.call.digest == answer.digest;
         });
     if (!expected)
     {
@@ -277,7 +305,8 @@
     }
 }
 
-void caller_side::report_result(const origin_call& call, const attempt_end& end)
+void caller_side::report_result(
+    const origin_call& call, const attempt_state& state, const attempt_end& end)
 {
     const auto now = base::now();
     const bool refused = verdict_of(end.answer) == verdict::not_run;
@@ -288,25 +317,31 @@
             if (verdict_of(end.answer) == verdict::ran)
             {
                 table.delays[latency_group(call)].on_answer(
-                    now - call.dispatched, end.answer.descendants);
+                    now - state.dispatched, end.answer.descendants);
             }
             if (!end.answered && !end.abandoned)
             {
-                targets.on_unreachable(call.target, now);
+                targets.on_unreachable(state.target, now);
             }
             if (end.answer.reason == refusal::draining)
             {
-                targets.on_draining(call.target, true, now);
+                targets.on_draining(state.target, true, now);
             }
-            const bool down = end.answer.reason == refusal::backend_down;
+            //! A node that does not serve the service has taken over the
+            //! address of one that did.
+            const bool down = end.answer.reason == refusal::backend_down ||
+                              end.answer.reason == refusal::no_target;
             if (down)
             {
-                targets.on_unreachable(call.target, now);
+                targets.on_unreachable(state.target, now);
             }
+            const auto latency = relative_latency(
+                table, call, now - state.dispatched,
+                this->tables.names.has_value());
             targets.on_result(
-                call.target,
-                {end.answered && !down, end.abandoned, refused,
-                 now - call.dispatched, end.answer.load},
+                state.target,
+                {end.answered && !down, end.abandoned, refused, latency,
+                 end.answer.load},
                 now);
         });
 }
@@ -395,6 +430,8 @@
 {
     std::uint64_t id = 0;
     bool again = false;
+    bool waits = false;
+    attempt_state superfluous;
     this->origins.with(
         [&](origin_table& table)
         {
@@ -405,13 +442,20 @@
             }
             id = found->second;
             auto& call = table.calls.at(id);
+            if (call.earlier &&
+                this->settle_hedge(table, call, attempt, end, superfluous))
+            {
+                waits = true;
+                return;
+            }
+            const auto state = call.present();
             table.end_attempt(call);
             call.budget.give_back(
                 std::min(end.answer.unspent, call.handed_budget));
             call.handed_budget = 0;
             if (call.route != route_kind::home)
             {
-                this->report_result(call, end);
+                this->report_result(call, state, end);
             }
             else if (
                 !end.answered && verdict_of(end.answer) == verdict::not_run)
@@ -429,6 +473,11 @@
         this->tables.note({0, "stray_answer", 0, attempt, "", ""});
         return;
     }
+    this->stop_attempt(superfluous);
+    if (waits)
+    {
+        return;
+    }
     if (again)
     {
         this->tables.note(
@@ -440,6 +489,99 @@
     this->complete(id, std::move(end.answer));
 }
 
+bool caller_side::settle_hedge(
+    origin_table& table, origin_call& call, std::uint64_t attempt,
+    const attempt_end& end, attempt_state& superfluous)
+{
+    const bool good = verdict_of(end.answer) == verdict::ran &&
+                      end.answer.status < first_server_error;
+    const bool first_ended = attempt == call.earlier->attempt;
+    const auto ended = first_ended ? *call.earlier : call.present();
+    const auto other = first_ended ? call.present() : *call.earlier;
+    if (good)
+    {
+        superfluous = other;
+        this->report_result(
+            call, other,
+            {make_refusal(verdict::may_have_run, refusal::cancelled), false,
+             true});
+    }
+    if (first_ended)
+    {
+        table.end_earlier(call);
+        if (good)
+        {
+            table.end_attempt(call);
+            call.make_present(ended);
+        }
+    }
+    else
+    {
+        table.attempts.erase(good ? other.attempt : ended.attempt);
+        const auto gone = good ? other : ended;
+        const auto waiting = table.by_link.find(gone.link);
+        if (waiting != table.by_link.end())
+        {
+            waiting->second.erase(gone.attempt);
+        }
+        call.make_present(good ? ended : other);
+        call.earlier.reset();
+    }
+    if (good)
+    {
+        return false;
+    }
+    this->report_result(call, ended, end);
+    return true;
+}
+
+bool caller_side::return_to_earlier(origin_call& call)
+{
+    if (!call.earlier)
+    {
+        return false;
+    }
+    call.make_present(*call.earlier);
+    call.earlier.reset();
+    return true;
+}
+
+void caller_side::hedge(std::uint64_t attempt)
+{
+    std::uint64_t id = 0;
+    this->origins.with(
+        [&](origin_table& table)
+        {
+            const auto found = table.attempts.find(attempt);
+            if (found == table.attempts.end())
+            {
+                return;
+            }
+            auto& call = table.calls.at(found->second);
+            const bool allowed =
+                !call.earlier && call.attempt == attempt &&
+                this->has_spare_target(call) &&
+                this->tables.routing.with(
+                    [&](routing_table& routing)
+                    { return routing.retries.allow_retry(call.call.service); });
+            if (!allowed)
+            {
+                return;
+            }
+            id = found->second;
+            call.earlier = call.present();
+            call.attempt = 0;
+            call.local_serving = 0;
+            call.call.rerun = true;
+            ++call.history.arrivals;
+        });
+    if (id != 0)
+    {
+        this->tables.note({0, "hedge", 0, id, "", ""});
+        this->dispatch(id);
+    }
+}
+
 void caller_side::reroute_slow(base::time_ms now)
 {
     std::vector<origin_call> slow;
@@ -466,8 +608,13 @@
         {
             continue;
         }
+        if (this->tables.names)
+        {
+            this->hedge(call.attempt);
+            continue;
+        }
         this->tables.note({0, "reroute", call.call.root, call.id, "", ""});
-        this->stop_attempt(call);
+        this->stop_attempts(call);
         this->on_attempt_end(
             call.attempt,
             {make_refusal(verdict::may_have_run, refusal::timeout), false,
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -149,6 +149,15 @@
     return untried;
 }
 
+bool caller_side::has_spare_target(const origin_call& call)
+{
+    bool spare = false;
+    this->tables.with_targets(
+        call.call.service, [&](auto& targets, routing_table&)
+        { spare = targets.has_spare_target(call.tried, base::now()); });
+    return spare;
+}
+
 void caller_side::log_outcome(
     const origin_call& call, const schema::answer& answer) const
 {
--- a/src/node/internal/origin_call.cpp
+++ b/src/node/internal/origin_call.cpp
@@ -50,6 +50,7 @@
     {
         return std::nullopt;
     }
+    this->end_earlier(found->second);
     this->end_attempt(found->second);
     auto call = std::move(found->second);
     this->calls.erase(found);
@@ -69,6 +70,33 @@
     return call;
 }
 
+attempt_state origin_call::present() const
+{
+    return {
+        this->attempt, this->target, this->link, this->local_serving,
+        this->dispatched};
+}
+
+void origin_call::make_present(const attempt_state& state)
+{
+    this->attempt = state.attempt;
+    this->target = state.target;
+    this->link = state.link;
+    this->local_serving = state.local_serving;
+    this->dispatched = state.dispatched;
+}
+
+void origin_table::end_earlier(origin_call& call)
+{
+    if (!call.earlier)
+    {
+        return;
+    }
+    this->attempts.erase(call.earlier->attempt);
+    erase_member(this->by_link, call.earlier->link, call.earlier->attempt);
+    call.earlier.reset();
+}
+
 void origin_table::end_attempt(origin_call& call)
 {
     this->attempts.erase(call.attempt);
--- a/src/node/internal/origin_call.hpp
+++ b/src/node/internal/origin_call.hpp
@@ -27,6 +27,16 @@
     pinned,   //!< The one target that may run a struck request.
 };
 
+//! A dispatch in progress.
+struct attempt_state
+{
+    std::uint64_t attempt{0};
+    std::string target;
+    transport::link_id link{0};
+    std::uint64_t local_serving{0};
+    base::time_ms dispatched;
+};
+
 //! A request for which this node is the caller's node.
 struct origin_call
 {
@@ -68,6 +78,14 @@
     std::uint64_t local_serving{0};
     std::uint32_t handed_budget{0};
     base::time_ms dispatched;
+
+    //! An attempt that is slow but goes on beside the present one; the first
+    //! good answer counts.
+    std::optional<attempt_state> earlier;
+
+    attempt_state present() const;
+    //! Makes an attempt the present one.
+    void make_present(const attempt_state& state);
 };
 
 //! Calls in progress as the caller's node, and who waits for which record.
@@ -95,6 +113,8 @@
     std::optional<origin_call> extract(std::uint64_t id);
     //! Ends the attempt of a call, keeping the call.
     void end_attempt(origin_call& call);
+    //! Ends the earlier attempt of a call.
+    void end_earlier(origin_call& call);
 };
 //! Verdict of an answer as its type.
 base::verdict verdict_of(const schema::answer& answer);
