--- a/src/apps/node_main.cpp
+++ b/src/apps/node_main.cpp
@@ -32,9 +32,10 @@
     }
     const app::structured_log log(
         argv[0], settings.log.level, settings.log.flush_s);
-    BOOST_LEAF_AUTO(node, node::node::start(
-                  settings, line.value("settings"),
-                  users_platform::make_adapter()));
+    BOOST_LEAF_AUTO(
+        node,
+        node::node::start(
+            settings, line.value("settings"), users_platform::make_adapter()));
     LOG(INFO) << "event=started instance=" << settings.node.instance;
     return node->run();
 }
--- a/src/apps/structured_log.cpp
+++ b/src/apps/structured_log.cpp
@@ -11,6 +11,9 @@
 constexpr int first_year = 1900;
 constexpr int microsecond_digits = 6;
 constexpr std::int64_t ms_per_s = 1000;
+constexpr base::duration_ms second{ms_per_s};
+//! Bounds what the log costs under load; warnings and errors always pass.
+constexpr std::uint32_t most_lines_per_s = 200;
 } // namespace
 
 structured_log::structured_log(
@@ -32,7 +35,30 @@
 {
     google::RemoveLogSink(this);
     google::ShutdownGoogleLogging();
-    std::clog.flush();
+    std::cout.flush();
+}
+
+bool structured_log::admit_line()
+{
+    const auto now = base::now();
+    if (now - this->second_start >= second)
+    {
+        if (this->left_out > 0)
+        {
+            std::cout << "level=INFO event=lines_left_out count="
+                      << this->left_out << '\n';
+        }
+        this->second_start = now;
+        this->lines = 0;
+        this->left_out = 0;
+    }
+    if (this->lines >= most_lines_per_s)
+    {
+        ++this->left_out;
+        return false;
+    }
+    ++this->lines;
+    return true;
 }
 
 void structured_log::send(
@@ -40,7 +66,11 @@
     int line, const google::LogMessageTime& time, const char* message,
     std::size_t length)
 {
-    std::clog << std::setfill('0') << "time=" << first_year + time.year() << '-'
+    if (severity == google::GLOG_INFO && !this->admit_line())
+    {
+        return;
+    }
+    std::cout << std::setfill('0') << "time=" << first_year + time.year() << '-'
               << std::setw(2) << 1 + time.month() << '-' << std::setw(2)
               << time.day() << 'T' << std::setw(2) << time.hour() << ':'
               << std::setw(2) << time.min() << ':' << std::setw(2) << time.sec()
@@ -52,7 +82,7 @@
     if (severity > google::GLOG_INFO ||
         now - this->last_flush >= this->flush_interval)
     {
-        std::clog.flush();
+        std::cout.flush();
         this->last_flush = now;
     }
 }
--- a/src/apps/structured_log.hpp
+++ b/src/apps/structured_log.hpp
@@ -6,7 +6,7 @@
 
 namespace bilberrytally::app
 {
-//! Writes each log message as one line of key=value to standard error.
+//! Writes each log message as one line of key=value to standard output.
 class structured_log : public google::LogSink
 {
 public:
@@ -23,6 +23,12 @@
         const char* message, std::size_t length) override;
 
 private:
+    //! False where this second has had its lines.
+    bool admit_line();
+
+    base::time_ms second_start{INT64_MIN / 2};
+    std::uint32_t lines{0};
+    std::uint32_t left_out{0};
     base::duration_ms flush_interval;
     base::time_ms last_flush;
 };
--- a/src/decisions/internal/concurrency_limit.cpp
+++ b/src/decisions/internal/concurrency_limit.cpp
@@ -63,8 +63,7 @@
         std::min(this->slots, this->current + growth_per_completion);
 }
 
-void concurrency_limit::on_exact_completion(
-    completion kind, base::time_ms now)
+void concurrency_limit::on_exact_completion(completion kind, base::time_ms now)
 {
     if (kind == completion::shed)
     {
--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -160,9 +160,11 @@
             const auto& candidate = this->targets.at(id);
             const bool fresh = now - candidate.reported_at < report_lifetime;
             const auto used = static_cast<double>(candidate.reported_in_flight);
-            return excluded.count(id) == 0 && fresh &&
-                   this->state_of(candidate, now) == target_state::available &&
-                   used < spare_share * candidate.reported_limit;
+            //! A target that was not asked for long is taken to have room.
+            const bool spare =
+                !fresh || used < spare_share * candidate.reported_limit;
+            return excluded.count(id) == 0 && spare &&
+                   this->state_of(candidate, now) == target_state::available;
         });
 }
 
@@ -326,8 +328,8 @@
 target_state
 target_table::state_of(const target& candidate, base::time_ms now) const
 {
-    const bool lapsed = this->drain_lapse &&
-                        now - candidate.drained_at >= *this->drain_lapse;
+    const bool lapsed =
+        this->drain_lapse && now - candidate.drained_at >= *this->drain_lapse;
     if (candidate.draining && !lapsed)
     {
         return target_state::draining;
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -91,7 +91,8 @@
         std::uint32_t priority, std::mt19937_64& random,
         base::time_ms now) const;
 
-    //! True if a target outside \p excluded reported free slots lately.
+    //! True if a target outside \p excluded has free slots by its last report,
+    //! or has not been asked lately.
     bool has_spare_target(
         const std::set<std::string>& excluded, base::time_ms now) const;
 
@@ -101,8 +102,8 @@
         base::time_ms now);
     void on_unreachable(const std::string& instance, base::time_ms now);
     void on_reachable(const std::string& instance);
-    void on_draining(
-        const std::string& instance, bool draining, base::time_ms now);
+    void
+    on_draining(const std::string& instance, bool draining, base::time_ms now);
 
     //! What the node at an address says of itself.
     void on_node_state(
--- a/src/directory/fleet_view.hpp
+++ b/src/directory/fleet_view.hpp
@@ -74,10 +74,10 @@
     void take(
         entry& known, const decoded_item& decoded, base::time_ms now,
         view_change& change);
-    void take_configuration(
-        const fleet_configuration& fresh, view_change& change);
-    void take_target(
-        entry& known, const target_entry& fresh, view_change& change);
+    void
+    take_configuration(const fleet_configuration& fresh, view_change& change);
+    void
+    take_target(entry& known, const target_entry& fresh, view_change& change);
     void
     take_removal(entry& known, base::time_ms now, view_change& change) const;
 
--- a/src/directory/internal/fleet_view.cpp
+++ b/src/directory/internal/fleet_view.cpp
@@ -102,9 +102,9 @@
     {
         return;
     }
-    const bool hold =
-        this->regained && now - *this->regained < this->removal_hold &&
-        known.target->phase == target_phase::ready;
+    const bool hold = this->regained &&
+                      now - *this->regained < this->removal_hold &&
+                      known.target->phase == target_phase::ready;
     if (hold)
     {
         known.removed_until = *this->regained + this->removal_hold;
--- a/src/directory/internal/route_map.cpp
+++ b/src/directory/internal/route_map.cpp
@@ -66,8 +66,7 @@
     }
 }
 
-route_map::dealing
-route_map::make_dealing(const route& way, std::uint64_t seed)
+route_map::dealing route_map::make_dealing(const route& way, std::uint64_t seed)
 {
     dealing entry;
     entry.way = std::make_shared<const route>(way);
--- a/src/directory/internal/store_watcher.cpp
+++ b/src/directory/internal/store_watcher.cpp
@@ -165,7 +165,8 @@
     this->page_after.clear();
     this->snapshot_keys.clear();
     const auto doublings = std::min(this->failures, most_doublings);
-    const auto span = std::min(first_backoff_ms << doublings, longest_backoff_ms);
+    const auto span =
+        std::min(first_backoff_ms << doublings, longest_backoff_ms);
     ++this->failures;
     const auto jitter = static_cast<std::int64_t>(
         this->random() % static_cast<std::uint64_t>(span));
--- a/src/http/internal/pooled_client.cpp
+++ b/src/http/internal/pooled_client.cpp
@@ -51,9 +51,8 @@
         const auto id = ++this->last_id;
         //! Not dispatched at once: the caller stores the id first.
         asio::post(
-            this->strand,
-            [this, id, request = std::move(request),
-             on_done = std::move(on_done)]() mutable
+            this->strand, [this, id, request = std::move(request),
+                           on_done = std::move(on_done)]() mutable
             { this->begin(id, request, std::move(on_done)); });
         return id;
     }
@@ -73,8 +72,7 @@
     void set_connections_per_host(std::uint32_t connections) override
     {
         asio::post(
-            this->strand,
-            [this, connections]
+            this->strand, [this, connections]
             { this->limits.connections_per_host = connections; });
     }
 
@@ -118,9 +116,9 @@
             id, transfer{
                     connection, std::move(on_done), now, now + request.timeout,
                     now + request.connect_timeout});
-        auto done = [this, id, endpoint, weak = std::weak_ptr(connection)](
-                        transfer_outcome outcome, response answer,
-                        bool reusable)
+        auto done =
+            [this, id, endpoint, weak = std::weak_ptr(connection)](
+                transfer_outcome outcome, response answer, bool reusable)
         {
             this->on_end(
                 id, outcome, std::move(answer),
@@ -171,9 +169,10 @@
     static base::duration_ms idle_limit(const idle_connection& item)
     {
         const auto said = item.connection->idle_limit();
-        return said ? base::duration_ms{said->count * idle_numerator /
-                                        idle_denominator}
-                    : usual_idle;
+        return said
+                   ? base::
+                         duration_ms{said->count * idle_numerator / idle_denominator}
+                   : usual_idle;
     }
 
     void close_old(base::time_ms now)
@@ -283,9 +282,9 @@
         for (const auto& [id, item] : this->transfers)
         {
             const bool connecting = item.connection->is_connecting();
-            const auto due = connecting
-                                 ? std::min(item.connect_deadline, item.deadline)
-                                 : item.deadline;
+            const auto due =
+                connecting ? std::min(item.connect_deadline, item.deadline)
+                           : item.deadline;
             if (due > now)
             {
                 next = next ? std::min(*next, due) : due;
@@ -327,8 +326,8 @@
 };
 } // namespace
 
-std::unique_ptr<http_client> http_client::make_pooled(
-    asio::io_context& context, const client_limits& limits)
+std::unique_ptr<http_client>
+http_client::make_pooled(asio::io_context& context, const client_limits& limits)
 {
     return std::make_unique<pooled_client>(context, limits);
 }
--- a/src/http/internal/pooled_connection.cpp
+++ b/src/http/internal/pooled_connection.cpp
@@ -219,7 +219,8 @@
         this->parser.begin(this->to_head);
         return;
     }
-    const auto said = parse_keep_alive(find_header(answer.headers, "keep-alive"));
+    const auto said =
+        parse_keep_alive(find_header(answer.headers, "keep-alive"));
     this->idle = said ? said : this->idle;
     //! A server that answered early still waits for the rest of the body.
     const bool reusable = keeps && !this->spoiled && !this->writing;
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -80,8 +80,8 @@
     bool may_retry_routed(origin_call& call, const schema::answer& answer);
     bool has_untried_target(const origin_call& call);
     bool has_spare_target(const origin_call& call);
-    void log_outcome(
-        const origin_call& call, const schema::answer& answer) const;
+    void
+    log_outcome(const origin_call& call, const schema::answer& answer) const;
     //! When a refused caller is to come back.
     static base::duration_ms retry_after();
     bool resend_allowed(const origin_call& call);
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -31,8 +31,7 @@
     bool grouped)
 {
     constexpr double percent = 100;
-    const double usual =
-        grouped ? table.delays[call.latency_group].usual() : 0;
+    const double usual = grouped ? table.delays[call.latency_group].usual() : 0;
     if (usual <= 0)
     {
         return latency;
@@ -44,8 +43,7 @@
 //! Without published routes, all requests of a service are one group.
 const std::string& latency_group(const origin_call& call)
 {
-    return call.latency_group.empty() ? call.call.service
-                                      : call.latency_group;
+    return call.latency_group.empty() ? call.call.service : call.latency_group;
 }
 } // namespace
 
@@ -263,9 +261,8 @@
                 return;
             }
             const auto& call = table.calls.at(found->second);
-            const bool by_link =
-                call.link == link ||
-                (call.earlier && call.earlier->link == link);
+            const bool by_link = call.link == link ||
+                                 (call.earlier && call.earlier->link == link);
             expected = by_link && call.call.digest == answer.digest;
         });
     if (!expected)
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -87,13 +87,14 @@
 
 void directory_follower::on_item(const schema::published_item& item)
 {
-    const auto change = this->state.with(
-        [&](follow_state& state)
-        { return state.view.merge(item, base::now()); });
+    const auto change =
+        this->state.with([&](follow_state& state)
+                         { return state.view.merge(item, base::now()); });
     if (!change.problem.empty())
     {
         this->tables.note(
-            {0, "item_ignored", 0, 0, "", "problem=\"" + change.problem + "\""});
+            {0, "item_ignored", 0, 0, "",
+             "problem=\"" + change.problem + "\""});
     }
     this->apply(change);
 }
@@ -146,8 +147,8 @@
 
 void directory_follower::on_items(const schema::item_list& list)
 {
-    const auto before = this->state.with(
-        [](follow_state& state) { return state.view.revision(); });
+    const auto before = this->state.with([](follow_state& state)
+                                         { return state.view.revision(); });
     for (const auto& item : list.items)
     {
         this->on_item(item);
@@ -364,8 +365,7 @@
         this->tables.settings.platform.reads_per_s / watch_share, 1);
     const auto needed = static_cast<std::int64_t>(
         nodes * static_cast<std::uint64_t>(ms_per_s) / rate);
-    return std::clamp(
-        base::duration_ms{needed}, shortest_watch, longest_watch);
+    return std::clamp(base::duration_ms{needed}, shortest_watch, longest_watch);
 }
 
 void directory_follower::tick(base::time_ms now)
--- a/src/node/internal/http_mapping.cpp
+++ b/src/node/internal/http_mapping.cpp
@@ -38,12 +38,11 @@
         {
             item.remove_prefix(1);
         }
-        const bool same =
-            item.size() == name.size() &&
-            std::equal(
-                item.begin(), item.end(), name.begin(),
-                [](unsigned char a, unsigned char b)
-                { return std::tolower(a) == std::tolower(b); });
+        const bool same = item.size() == name.size() &&
+                          std::equal(
+                              item.begin(), item.end(), name.begin(),
+                              [](unsigned char a, unsigned char b)
+                              { return std::tolower(a) == std::tolower(b); });
         if (same)
         {
             return true;
@@ -182,8 +181,8 @@
     return kept;
 }
 
-http::response to_routed_response(
-    const schema::answer& answer, base::duration_ms retry_after)
+http::response
+to_routed_response(const schema::answer& answer, base::duration_ms retry_after)
 {
     http::response response;
     const auto verdict = static_cast<base::verdict>(answer.verdict);
@@ -200,10 +199,10 @@
     {
         response.status = unavailable;
         response.headers.push_back(
-            {"Retry-After", fmt::format(
-                                "{:.2f}", static_cast<double>(
-                                              retry_after.count) /
-                                              static_cast<double>(ms_per_s))});
+            {"Retry-After",
+             fmt::format(
+                 "{:.2f}", static_cast<double>(retry_after.count) /
+                               static_cast<double>(ms_per_s))});
         return response;
     }
     response.status = answer.reason == schema::refusal::timeout ||
--- a/src/node/internal/http_mapping.hpp
+++ b/src/node/internal/http_mapping.hpp
@@ -53,8 +53,8 @@
 
 //! Answer for a caller of a platform's fleet: a served one unchanged, 503 with
 //! Retry-After where the request did not run, 502 or 504 else.
-http::response to_routed_response(
-    const schema::answer& answer, base::duration_ms retry_after);
+http::response
+to_routed_response(const schema::answer& answer, base::duration_ms retry_after);
 
 //! Headers that are passed on to the backend server.
 http::header_list end_to_end_headers(const http::header_list& headers);
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -42,7 +42,8 @@
     running_node(
         const schema::node_settings& settings, const std::string& file,
         platform_adapter adapter)
-        : adapter(std::move(adapter)), watched_settings(settings, file), work(asio::make_work_guard(this->context)),
+        : adapter(std::move(adapter)), watched_settings(settings, file),
+          work(asio::make_work_guard(this->context)),
           tables(this->context, settings, base::random_bits()),
           targets(this->tables, make_client(this->context, settings)),
           callers(this->tables, this->targets), signals(this->context),
@@ -196,8 +197,7 @@
             return base::fail(
                 "[node] workers", "expected 1 with [platform] store");
         }
-        BOOST_LEAF_AUTO(
-            client, this->adapter.make_store(this->context, store));
+        BOOST_LEAF_AUTO(client, this->adapter.make_store(this->context, store));
         this->directory = std::make_unique<directory_follower>(
             this->tables, this->adapter, std::move(client),
             [this](const schema::service_policy& policy)
@@ -337,8 +337,8 @@
         else if (frame.kind == frame_kind::item_list && this->directory)
         {
             this->decoded<schema::item_list>(
-                frame, [&](const auto& list)
-                { this->directory->on_items(list); });
+                frame,
+                [&](const auto& list) { this->directory->on_items(list); });
         }
         else if (frame.kind == frame_kind::document)
         {
@@ -586,8 +586,7 @@
 };
 } // namespace
 
-base::result<std::unique_ptr<node>>
-node::start(
+base::result<std::unique_ptr<node>> node::start(
     const schema::node_settings& settings, const std::string& file,
     const platform_adapter& adapter)
 {
--- a/src/node/internal/spreader.cpp
+++ b/src/node/internal/spreader.cpp
@@ -40,7 +40,8 @@
 } // namespace
 
 spreader::spreader(
-    node_tables& tables, std::unique_ptr<configuration::configuration_client> client,
+    node_tables& tables,
+    std::unique_ptr<configuration::configuration_client> client,
     std::function<void(const schema::service_policy&)> on_own_policy)
     : tables(tables), client(std::move(client)),
       on_own_policy(std::move(on_own_policy)),
--- a/src/node/internal/spreader.hpp
+++ b/src/node/internal/spreader.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "base/guarded.hpp"
+#include "configuration/configuration_client.hpp"
 #include "decisions/reader_schedule.hpp"
 #include "node/internal/node_tables.hpp"
-#include "configuration/configuration_client.hpp"
 #include "transport/peer_network.hpp"
 
 #include <atomic>
@@ -28,7 +28,8 @@
 {
 public:
     spreader(
-        node_tables& tables, std::unique_ptr<configuration::configuration_client> client,
+        node_tables& tables,
+        std::unique_ptr<configuration::configuration_client> client,
         std::function<void(const schema::service_policy&)> on_own_policy);
 
     void attach(transport::peer_network& network);
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -1,8 +1,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "configuration/configuration_client.hpp"
 #include "node/internal/freeze_guard.hpp"
 #include "node/internal/http_mapping.hpp"
 #include "node/internal/issued_key.hpp"
-#include "configuration/configuration_client.hpp"
 #include "timeline/timeline.hpp"
 
 #include <doctest/doctest.h>
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -114,7 +114,7 @@
 
     def spawn(self, command):
         with open(self.log, "ab") as log:
-            return subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=log)
+            return subprocess.Popen(command, stdout=log, stderr=log)
 
     def ready(self):
         for process in (self.node, self.backend):
