--- a/src/node/internal/admin_api.cpp
+++ b/src/node/internal/admin_api.cpp
@@ -13,6 +13,7 @@
 namespace
 {
 constexpr std::string_view bearer = "Bearer ";
+constexpr std::string_view metrics_path = "/metrics";
 constexpr std::uint32_t unauthorized = 401;
 constexpr std::uint32_t forbidden = 403;
 constexpr std::uint32_t not_found = 404;
@@ -77,6 +78,14 @@
 void admin_api::on_request(
     const http::request& request, const http::respond& respond)
 {
+    if (this->tables.settings.admin.metrics_only)
+    {
+        respond(
+            request.target == metrics_path
+                ? this->expose_metrics()
+                : problem(not_found, "not found", "only metrics are served"));
+        return;
+    }
     const auto role = this->role_of(request);
     if (role == role::none)
     {
@@ -131,7 +140,7 @@
     {
         return json_response(this->timeline(query));
     }
-    if (path == "/metrics")
+    if (path == metrics_path)
     {
         return this->expose_metrics();
     }
--- a/src/schema/settings.cpp
+++ b/src/schema/settings.cpp
@@ -103,6 +103,9 @@
         value.admin.address));
     BOOST_LEAF_CHECK(
         fields.take("admin", "port", {true, 1, 65535}, value.admin.port));
+    BOOST_LEAF_CHECK(fields.take(
+        "admin", "metrics_only", {false, 0, internal::no_maximum},
+        value.admin.metrics_only));
     BOOST_LEAF_CHECK(fields.take(
         "admin", "reader_token", {true, 8, 256}, value.admin.reader_token));
     BOOST_LEAF_CHECK(fields.take(
--- a/src/schema/settings.hpp
+++ b/src/schema/settings.hpp
@@ -121,6 +121,8 @@
         std::string address{"127.0.0.1"};
         //! Port of the administration API.
         std::uint32_t port{0};
+        //! Serve only /metrics, to everyone; the tokens open nothing.
+        bool metrics_only{false};
         //! Bearer token of the read-only role.
         std::string reader_token{};
         //! Bearer token of the operator role.
