--- a/src/schema/settings.hpp
+++ b/src/schema/settings.hpp
@@ -143,8 +143,8 @@
     {
         //! Lowest severity written: 0 info, 1 warning, 2 error.
         std::uint32_t level{0};
-        //! Longest time a log line is buffered, s.
-        std::uint32_t flush_s{1};
+        //! Longest time a log line is buffered, s; 0 writes each line at once.
+        std::uint32_t flush_s{0};
 
         bool operator==(const log_section&) const = default;
     };
