Drop targets superseded by a later start at their address

Cause: after a fleet-wide restart the store still lists the entries of dead targets until they lapse, beside the new ones at the same addresses. Test: fleet_view_test, failed before.

--- a/src/directory/fleet_view.hpp
+++ b/src/directory/fleet_view.hpp
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bilberrytally::directory
@@ -50,10 +52,12 @@
     //! Nothing before the first configuration.
     const std::optional<fleet_configuration>& configuration() const;
 
-    //! Targets of a service that may be used, by instance id.
+    //! Targets of a service that may be used, by instance id. Of those that
+    //! are published at one address only the one that started last is alive.
     std::vector<target_entry> targets(const std::string& service) const;
     std::vector<std::string> services() const;
     std::vector<target_entry> all_targets() const;
+    //! Addresses at which targets are published.
     std::size_t target_count() const;
 
     //! Highest revision of any item known.
@@ -64,6 +68,9 @@
     items_after(std::uint64_t revision) const;
 
 private:
+    //! Host and port.
+    using target_place = std::pair<std::string, std::uint32_t>;
+
     struct entry
     {
         schema::published_item item;
@@ -79,13 +86,19 @@
     take_configuration(const fleet_configuration& fresh, view_change& change);
     void
     take_target(entry& known, const target_entry& fresh, view_change& change);
-    void
-    take_removal(entry& known, base::time_ms now, view_change& change) const;
+    void take_removal(entry& known, base::time_ms now, view_change& change);
+    //! Replaces the target that an entry names, by none to drop it.
+    void set_target(
+        entry& known, std::optional<target_entry> fresh, view_change& change);
+    //! A target that started later is published at the same address.
+    bool is_superseded(const target_entry& target) const;
 
     decode_item decode;
     base::duration_ms removal_hold;
     std::optional<base::time_ms> regained;
     std::map<std::string, entry> entries;
+    //! Keys of the entries that name a target at an address.
+    std::map<target_place, std::set<std::string>> by_place;
     std::optional<fleet_configuration> current;
     std::uint64_t highest{0};
 };
--- a/src/directory/internal/fleet_view.cpp
+++ b/src/directory/internal/fleet_view.cpp
@@ -1,7 +1,6 @@
 #include "directory/fleet_view.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace bilberrytally::directory
 {
@@ -61,12 +60,7 @@
             {
                 //! It names no target to use.
                 change.problem = item.problem;
-                if (known.target)
-                {
-                    add_service(change, known.target->service);
-                }
-                known.target.reset();
-                known.removed_until.reset();
+                this->set_target(known, std::nullopt, change);
             },
             [](const unrelated_item&) {}},
         decoded);
@@ -86,17 +80,54 @@
 void fleet_view::take_target(
     entry& known, const target_entry& fresh, view_change& change)
 {
+    this->set_target(known, fresh, change);
+}
+
+void fleet_view::set_target(
+    entry& known, std::optional<target_entry> fresh, view_change& change)
+{
+    const auto note_place = [&](const target_entry& target)
+    {
+        for (const auto& key : this->by_place[{target.host, target.port}])
+        {
+            add_service(change, this->entries.at(key).target->service);
+        }
+    };
     if (known.target)
     {
-        add_service(change, known.target->service);
+        note_place(*known.target);
+        const target_place place{known.target->host, known.target->port};
+        auto& keys = this->by_place.at(place);
+        keys.erase(known.item.key);
+        if (keys.empty())
+        {
+            this->by_place.erase(place);
+        }
     }
-    known.target = fresh;
+    known.target = std::move(fresh);
     known.removed_until.reset();
-    add_service(change, fresh.service);
+    if (known.target)
+    {
+        this->by_place[{known.target->host, known.target->port}].insert(
+            known.item.key);
+        note_place(*known.target);
+    }
+}
+
+bool fleet_view::is_superseded(const target_entry& target) const
+{
+    const auto& keys = this->by_place.at({target.host, target.port});
+    return std::any_of(
+        keys.begin(), keys.end(),
+        [&](const auto& key)
+        {
+            const auto& other = *this->entries.at(key).target;
+            return other.started_at_ms > target.started_at_ms;
+        });
 }
 
 void fleet_view::take_removal(
-    entry& known, base::time_ms now, view_change& change) const
+    entry& known, base::time_ms now, view_change& change)
 {
     if (!known.target || known.removed_until)
     {
@@ -110,8 +141,7 @@
         known.removed_until = *this->regained + this->removal_hold;
         return;
     }
-    add_service(change, known.target->service);
-    known.target.reset();
+    this->set_target(known, std::nullopt, change);
 }
 
 view_change fleet_view::end_snapshot(
@@ -147,9 +177,7 @@
     {
         if (known.removed_until && *known.removed_until <= now)
         {
-            known.removed_until.reset();
-            add_service(change, known.target->service);
-            known.target.reset();
+            this->set_target(known, std::nullopt, change);
         }
     }
     return change;
@@ -165,7 +193,8 @@
     std::vector<target_entry> found;
     for (const auto& [key, known] : this->entries)
     {
-        if (known.target && known.target->service == service)
+        if (known.target && known.target->service == service &&
+            !this->is_superseded(*known.target))
         {
             found.push_back(*known.target);
         }
@@ -201,9 +230,7 @@
 
 std::size_t fleet_view::target_count() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        this->entries.begin(), this->entries.end(),
-        [](const auto& item) { return item.second.target.has_value(); }));
+    return this->by_place.size();
 }
 
 std::uint64_t fleet_view::revision() const
--- a/src/directory/tests/fleet_view_test.cpp
+++ b/src/directory/tests/fleet_view_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 using namespace bilberrytally;
@@ -12,6 +13,8 @@
 constexpr base::duration_ms hold{2000};
 
 //! Keys "t/ID" hold "SERVICE" or "SERVICE draining"; "c" holds a version.
+//! "SERVICE at HOST since MS" names an address and a start; else each target
+//! has an address of its own.
 decoded_item decode(const schema::published_item& item)
 {
     if (item.key == "c")
@@ -31,6 +34,15 @@
     target_entry target;
     target.instance = item.key.substr(2);
     target.service = item.value.substr(0, item.value.find(' '));
+    target.host = target.instance;
+    const auto place = item.value.find(" at ");
+    const auto start = item.value.find(" since ");
+    if (place != std::string::npos)
+    {
+        target.host = item.value.substr(place + 4, start - place - 4);
+        target.started_at_ms =
+            std::strtoull(item.value.c_str() + start + 7, nullptr, 10);
+    }
     target.phase = item.value.ends_with("draining") ? target_phase::draining
                                                     : target_phase::ready;
     return target;
@@ -138,3 +150,26 @@
     CHECK(view.items_after(3).size() == 1);
     CHECK(view.items_after(4).empty());
 }
+
+TEST_CASE(
+    "a target that started later at an address supersedes the earlier one")
+{
+    fleet_view view(decode, hold);
+    view.merge(item("t/old", "s at h since 100", 1), {0});
+    view.merge(item("t/other", "s at i since 100", 2), {0});
+    auto change = view.merge(item("t/new", "z at h since 200", 3), {0});
+    std::sort(change.services.begin(), change.services.end());
+    CHECK(change.services == std::vector<std::string>{"s", "z"});
+    REQUIRE(view.targets("s").size() == 1);
+    CHECK(view.targets("s")[0].instance == "other");
+    CHECK(view.targets("z").size() == 1);
+    CHECK(view.target_count() == 2);
+    //! A late word of the earlier one does not bring it back.
+    view.merge(item("t/old", "s at h since 100", 4), {0});
+    CHECK(view.targets("s").size() == 1);
+    auto removal = view.merge(item("t/new", "", 5), {0});
+    std::sort(removal.services.begin(), removal.services.end());
+    CHECK(removal.services == std::vector<std::string>{"s", "z"});
+    CHECK(view.targets("s").size() == 2);
+    CHECK(view.targets("z").empty());
+}
