--- a/src/decisions/internal/retry_budget.cpp
+++ b/src/decisions/internal/retry_budget.cpp
@@ -4,6 +4,12 @@
 
 namespace bilberrytally::decisions
 {
+namespace
+{
+constexpr double initial_tokens = 5;
+constexpr double max_tokens = 20;
+} // namespace
+
 retry_budget::retry_budget(std::uint32_t attempts) : attempts(attempts)
 {
 }
@@ -44,37 +50,16 @@
 
 void retry_ratio::on_fresh_call(
     const std::string& service, std::uint32_t percent)
-{
-    this->add(service, percent / 100.0);
-}
-
-void retry_ratio::on_fresh_call(const std::string& service)
-{
-    this->add(service, this->ratio);
-}
-
-void retry_ratio::set_limits(double ratio, double most_tokens)
-{
-    this->ratio = ratio;
-    this->initial_tokens = most_tokens;
-    this->max_tokens = most_tokens;
-    for (auto& [service, tokens] : this->buckets)
-    {
-        tokens = std::min(tokens, most_tokens);
-    }
-}
-
-void retry_ratio::add(const std::string& service, double tokens)
 {
     const auto [entry, added] =
-        this->buckets.try_emplace(service, this->initial_tokens);
-    entry->second = std::min(this->max_tokens, entry->second + tokens);
+        this->buckets.try_emplace(service, initial_tokens);
+    entry->second = std::min(max_tokens, entry->second + percent / 100.0);
 }
 
 bool retry_ratio::allow_retry(const std::string& service)
 {
     const auto [entry, added] =
-        this->buckets.try_emplace(service, this->initial_tokens);
+        this->buckets.try_emplace(service, initial_tokens);
     if (entry->second < 1)
     {
         return false;
@@ -86,6 +71,6 @@
 double retry_ratio::tokens(const std::string& service) const
 {
     const auto found = this->buckets.find(service);
-    return found == this->buckets.end() ? this->initial_tokens : found->second;
+    return found == this->buckets.end() ? initial_tokens : found->second;
 }
 } // namespace bilberrytally::decisions
--- a/src/decisions/retry_budget.hpp
+++ b/src/decisions/retry_budget.hpp
@@ -39,13 +39,7 @@
 class retry_ratio
 {
 public:
-    //! Replaces the share of fresh calls and the most tokens that a service
-    //! can save, which is also what it starts with.
-    void set_limits(double ratio, double most_tokens);
-
     void on_fresh_call(const std::string& service, std::uint32_t percent);
-    //! Counts a fresh call at the ratio of set_limits().
-    void on_fresh_call(const std::string& service);
 
     //! Takes one token; false where the service has none left.
     bool allow_retry(const std::string& service);
@@ -54,11 +48,6 @@
     double tokens(const std::string& service) const;
 
 private:
-    void add(const std::string& service, double tokens);
-
     std::unordered_map<std::string, double> buckets;
-    double ratio{0.1};
-    double initial_tokens{5};
-    double max_tokens{20};
 };
 } // namespace bilberrytally::decisions
--- a/src/decisions/tests/attempt_rule_test.cpp
+++ b/src/decisions/tests/attempt_rule_test.cpp
@@ -1,6 +1,6 @@
 #include "decisions/attempt_rule.hpp"
 
-#include "decisions/retry_budget.hpp"
+#include "decisions/retry_window.hpp"
 #include "decisions/target_table.hpp"
 
 #include <doctest/doctest.h>
@@ -81,12 +81,12 @@
     constexpr int calls_per_node = 200;
     for (int node = 0; node < nodes; ++node)
     {
-        retry_ratio tokens;
-        tokens.set_limits(ratio * share, extra * share / nodes);
+        retry_window budget;
+        budget.set_limits(ratio * share, extra * share / nodes, {10000});
         for (int i = 0; i < calls_per_node; ++i)
         {
-            tokens.on_fresh_call("s");
-            retries += tokens.allow_retry("s") ? 1 : 0;
+            budget.on_fresh_call("s", {i});
+            retries += budget.allow_retry("s", {i}) ? 1 : 0;
         }
     }
     CHECK(retries <= nodes * calls_per_node * ratio + extra);
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -243,7 +243,7 @@
         {
             if (this->tables.names)
             {
-                table.retries.on_fresh_call(service);
+                table.fleet_retries.on_fresh_call(service, base::now());
                 return;
             }
             table.retries.on_fresh_call(service, percent);
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -560,7 +560,10 @@
                 this->has_spare_target(call) &&
                 this->tables.routing.with(
                     [&](routing_table& routing)
-                    { return routing.retries.allow_retry(call.call.service); });
+                    {
+                        return routing.fleet_retries.allow_retry(
+                            call.call.service, base::now());
+                    });
             if (!allowed)
             {
                 return;
@@ -598,10 +601,7 @@
         });
     for (const auto& call : slow)
     {
-        const bool allowed = this->tables.routing.with(
-            [&](routing_table& table)
-            { return table.retries.tokens(call.call.service) >= 1; });
-        if (!allowed || this->tables.draining)
+        if (this->tables.draining)
         {
             continue;
         }
@@ -610,6 +610,13 @@
             this->hedge(call.attempt);
             continue;
         }
+        const bool allowed = this->tables.routing.with(
+            [&](routing_table& table)
+            { return table.retries.tokens(call.call.service) >= 1; });
+        if (!allowed)
+        {
+            continue;
+        }
         this->tables.note({0, "reroute", call.call.root, call.id, "", ""});
         this->stop_attempts(call);
         this->on_attempt_end(
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -130,7 +130,10 @@
     }
     return this->tables.routing.with(
         [&](routing_table& table)
-        { return table.retries.allow_retry(call.call.service); });
+        {
+            return table.fleet_retries.allow_retry(
+                call.call.service, base::now());
+        });
 }
 
 bool caller_side::has_untried_target(const origin_call& call)
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -4,6 +4,7 @@
 #include "transport/message_codec.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bilberrytally::node
 {
@@ -266,11 +267,14 @@
                                         { return state.view.target_count(); });
     const auto part = this->fleet.retry_extra * retry_share /
                       static_cast<double>(std::max<std::size_t>(nodes, 1));
+    const base::duration_ms window{
+        std::llround(this->fleet.retry_window_s * ms_per_s)};
     this->tables.routing.with(
         [&](routing_table& table)
         {
-            table.retries.set_limits(
-                this->fleet.retry_ratio * retry_share, std::max(part, 1.0));
+            table.fleet_retries.set_limits(
+                this->fleet.retry_ratio * retry_share, std::max(part, 1.0),
+                window);
         });
 }
 
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -7,6 +7,7 @@
 #include "decisions/reroute_delay.hpp"
 #include "decisions/resend_gate.hpp"
 #include "decisions/retry_budget.hpp"
+#include "decisions/retry_window.hpp"
 #include "decisions/target_table.hpp"
 #include "directory/dialect.hpp"
 #include "directory/route_map.hpp"
@@ -30,6 +31,8 @@
 {
     std::map<std::string, decisions::target_table> services;
     decisions::retry_ratio retries;
+    //! Used in place of \c retries where a store publishes the routes.
+    decisions::retry_window fleet_retries;
     decisions::resend_gate resends;
     std::map<std::string, decisions::reroute_delay> delays;
     std::mt19937_64 random;
--- a/src/schema/settings.cpp
+++ b/src/schema/settings.cpp
@@ -98,6 +98,9 @@
         "fleet", "retry_ratio", {false, 0, 1}, value.fleet.retry_ratio));
     BOOST_LEAF_CHECK(fields.take(
         "fleet", "retry_extra", {false, 0, 1000000}, value.fleet.retry_extra));
+    BOOST_LEAF_CHECK(fields.take(
+        "fleet", "retry_window_s", {false, 1, 600},
+        value.fleet.retry_window_s));
     BOOST_LEAF_CHECK(fields.take(
         "admin", "address", {false, 0, internal::no_maximum},
         value.admin.address));
--- a/src/schema/settings.hpp
+++ b/src/schema/settings.hpp
@@ -109,8 +109,10 @@
     {
         //! Retries of a service over the whole fleet, per request.
         double retry_ratio{0.2};
-        //! Retries in ten seconds that are allowed whatever the load.
+        //! Retries in a window that are allowed whatever the load.
         double retry_extra{40};
+        //! Span over which retries are counted, s.
+        double retry_window_s{10};
 
         bool operator==(const fleet_section&) const = default;
     };
