Avoid silent peers early, send their calls elsewhere, restore links in the background

Change: a ping after 150 ms of quiet, the peer avoided and its repeatable calls hedged after 250 ms more, the link given up after 1.5 s as before; connections that are not answered in 500 ms are given up with their calls unsent; targets of lost nodes get no call until the background connection is up again. Ruled out: giving links up after 400 ms, since calls that must not run twice would end with 502 on each short pause of a peer. Tests: silence_test (transport), routing_test; both fail without the change.

--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -245,6 +245,7 @@
     const auto found = this->targets.find(instance);
     if (found != this->targets.end())
     {
+        found->second.node_lost = false;
         found->second.unreachable_for = {0};
         found->second.unreachable_until = {INT64_MIN / 2};
     }
@@ -275,6 +276,40 @@
     }
 }
 
+void target_table::on_node_lost(const std::string& host, std::uint32_t port)
+{
+    for (auto& [id, item] : this->targets)
+    {
+        item.node_lost |=
+            item.address.host == host && item.address.port == port;
+    }
+}
+
+void target_table::on_node_heard(const std::string& host, std::uint32_t port)
+{
+    for (auto& [id, item] : this->targets)
+    {
+        if (item.address.host == host && item.address.port == port)
+        {
+            this->on_reachable(id);
+        }
+    }
+}
+
+std::vector<target_address> target_table::lost_nodes() const
+{
+    std::vector<target_address> lost;
+    for (const auto& id : this->subset)
+    {
+        const auto& candidate = this->targets.at(id);
+        if (candidate.node_lost)
+        {
+            lost.push_back(candidate.address);
+        }
+    }
+    return lost;
+}
+
 std::optional<target_address> target_table::owner(
     std::uint64_t key, const std::set<std::string>& excluded) const
 {
@@ -338,7 +373,7 @@
     {
         return target_state::listed_leaving;
     }
-    if (candidate.unreachable_until > now)
+    if (candidate.node_lost || candidate.unreachable_until > now)
     {
         return target_state::unreachable;
     }
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -102,6 +102,12 @@
         base::time_ms now);
     void on_unreachable(const std::string& instance, base::time_ms now);
     void on_reachable(const std::string& instance);
+    //! The connection to the node at an address is lost or silent. Its targets
+    //! get no calls until on_node_state() or on_node_heard().
+    void on_node_lost(const std::string& host, std::uint32_t port);
+    void on_node_heard(const std::string& host, std::uint32_t port);
+    //! Nodes of targets that could be chosen, whose connection is lost.
+    std::vector<target_address> lost_nodes() const;
     void
     on_draining(const std::string& instance, bool draining, base::time_ms now);
 
@@ -147,6 +153,7 @@
         std::uint64_t samples{0};
         double latency_ms{0};
         bool new_comer{false};
+        bool node_lost{false};
     };
 
     target_state state_of(const target& candidate, base::time_ms now) const;
--- a/src/decisions/tests/routing_test.cpp
+++ b/src/decisions/tests/routing_test.cpp
@@ -105,6 +105,26 @@
     }
 }
 
+TEST_CASE("a target whose node is lost gets no calls until it is heard again")
+{
+    target_table table("x", "a");
+    table.apply(make_list(2), {0});
+    const auto address = table.find("i0").value();
+    table.on_node_lost(address.host, address.port);
+    REQUIRE(table.lost_nodes().size() == 1);
+    CHECK(table.lost_nodes()[0] == address);
+    //! No call is spent on finding out, however long it takes.
+    for (const std::int64_t now : {1, 5000, 50000})
+    {
+        CHECK(choose_many(table, 50, {now}).count("i0") == 0);
+    }
+    table.apply(make_list(2), {50001});
+    CHECK(choose_many(table, 50, {50002}).count("i0") == 0);
+    table.on_node_heard(address.host, address.port);
+    CHECK(table.lost_nodes().empty());
+    CHECK(choose_many(table, 50, {50003}).count("i0") == 1);
+}
+
 TEST_CASE("a slow target of the own zone is left for another zone")
 {
     target_table table("x", "a");
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -35,6 +35,12 @@
     void on_answer(transport::link_id link, schema::answer answer);
     void
     on_link_down(transport::link_id link, const transport::link_loss& loss);
+    //! The node of a connection gives no sign of life, or does again.
+    void on_link_silent(
+        transport::link_id link, const transport::peer_address& peer,
+        bool silent);
+    //! Opens lost connections again, so that no call has to wait for them.
+    void restore_links();
 
     //! The call that caused these has ended.
     void cancel_children(std::uint64_t serving);
@@ -117,8 +123,10 @@
     //! Cancels all attempts in progress.
     void stop_attempts(const origin_call& call);
     void stop_attempt(const attempt_state& state);
-    //! Sends a slow call to another target too.
-    void hedge(std::uint64_t attempt);
+    //! Sends a slow call to another target too; \p any_target: also where
+    //! none has spare slots.
+    void hedge(std::uint64_t attempt, bool any_target);
+    void note_node(const transport::peer_address& peer, bool lost);
     //! One of two attempts ended. Returns true where the call waits for the
     //! other one, which is put into \p superfluous where it is not needed.
     bool settle_hedge(
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -274,9 +274,75 @@
     this->on_attempt_end(attempt, {std::move(answer), true});
 }
 
+void caller_side::note_node(const transport::peer_address& peer, bool lost)
+{
+    if (peer.host.empty())
+    {
+        return;
+    }
+    this->tables.routing.with(
+        [&](routing_table& table)
+        {
+            for (auto& [service, targets] : table.services)
+            {
+                if (lost)
+                {
+                    targets.on_node_lost(peer.host, peer.port);
+                }
+                else
+                {
+                    targets.on_node_heard(peer.host, peer.port);
+                }
+            }
+        });
+}
+
+void caller_side::on_link_silent(
+    transport::link_id link, const transport::peer_address& peer, bool silent)
+{
+    this->note_node(peer, silent);
+    const auto waiting = this->origins.with(
+        [&](origin_table& table)
+        {
+            const auto found = table.by_link.find(link);
+            return found == table.by_link.end() ? std::set<std::uint64_t>{}
+                                                : found->second;
+        });
+    this->tables.note(
+        {0, silent ? "peer_silent" : "peer_heard", 0, 0, "",
+         "peer=" + peer.host + " waiting=" + std::to_string(waiting.size())});
+    if (!silent || !this->tables.names || this->tables.draining)
+    {
+        return;
+    }
+    for (const auto attempt : waiting)
+    {
+        this->hedge(attempt, true);
+    }
+}
+
+void caller_side::restore_links()
+{
+    std::vector<decisions::target_address> lost;
+    this->tables.routing.with(
+        [&](routing_table& table)
+        {
+            for (const auto& [service, targets] : table.services)
+            {
+                const auto some = targets.lost_nodes();
+                lost.insert(lost.end(), some.begin(), some.end());
+            }
+        });
+    for (const auto& target : lost)
+    {
+        this->network->link_to({target.host, target.port});
+    }
+}
+
 void caller_side::on_link_down(
     transport::link_id link, const transport::link_loss& loss)
 {
+    this->note_node(loss.peer, true);
     std::vector<std::uint64_t> lost;
     this->origins.with(
         [&](origin_table& table)
@@ -543,7 +609,7 @@
     return true;
 }
 
-void caller_side::hedge(std::uint64_t attempt)
+void caller_side::hedge(std::uint64_t attempt, bool any_target)
 {
     std::uint64_t id = 0;
     this->origins.with(
@@ -557,10 +623,10 @@
             auto& call = table.calls.at(found->second);
             const bool allowed =
                 !call.earlier && call.attempt == attempt &&
-                this->has_spare_target(call) &&
+                call.call.repeatable && has_attempt_left(call) &&
+                (any_target || this->has_spare_target(call)) &&
                 this->tables.routing.with(
-                    [&](routing_table& routing)
-                    {
+                    [&](routing_table& routing) {
                         return routing.fleet_retries.allow_retry(
                             call.call.service, base::now());
                     });
@@ -607,7 +673,7 @@
         }
         if (this->tables.names)
         {
-            this->hedge(call.attempt);
+            this->hedge(call.attempt, false);
             continue;
         }
         const bool allowed = this->tables.routing.with(
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -27,7 +27,8 @@
 {
 constexpr std::chrono::milliseconds tick_interval{10};
 constexpr base::duration_ms last_requests{200};
-constexpr base::duration_ms silence_interval{200};
+constexpr base::duration_ms silence_interval{100};
+constexpr base::duration_ms restore_interval{200};
 constexpr base::duration_ms settings_interval{1000};
 constexpr int exit_cut = 3;
 constexpr std::uint32_t ok_status = 200;
@@ -145,6 +146,9 @@
             this->callers.on_link_down(link, loss);
             this->targets.on_link_down(link);
         };
+        events.links.on_silent =
+            [this](auto link, const auto& peer, bool silent)
+        { this->callers.on_link_silent(link, peer, silent); };
         events.links.on_rejected = [this](auto problem)
         {
             this->tables.note(
@@ -500,6 +504,11 @@
             this->last_silence_check = now;
             this->network->check_silence(this->callers.awaiting_links());
         }
+        if (now - this->last_restore >= restore_interval)
+        {
+            this->last_restore = now;
+            this->callers.restore_links();
+        }
         if (this->stopping)
         {
             this->check_drained(now);
@@ -575,6 +584,7 @@
     bool signals_added{false};
     std::atomic<bool> stopping{false};
     base::time_ms last_silence_check;
+    base::time_ms last_restore;
     base::time_ms stop_requested;
     bool closing{false};
     base::time_ms closed_at;
--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -16,16 +16,20 @@
 namespace
 {
 constexpr std::size_t max_body_bytes = 80U << 20U;
-constexpr base::duration_ms ping_after{400};
+constexpr base::duration_ms connect_limit{500};
+constexpr base::duration_ms ping_after{150};
+//! A peer that stands still this long is avoided. Longer than the pause of a
+//! processor whose share is used up, and than one lost packet.
+constexpr base::duration_ms silent_after{250};
 constexpr base::duration_ms lost_after{1500};
 } // namespace
 
 peer_link::peer_link(
     asio::io_context& context, link_id id, const std::string& key,
-    schema::hello own_hello, const link_events& events)
+    peer_address peer, schema::hello own_hello, const link_events& events)
     : strand(asio::make_strand(context)), socket(this->strand), id(id),
-      codec(key), own_hello(std::move(own_hello)), events(events),
-      last_heard(base::now())
+      codec(key), peer(std::move(peer)), own_hello(std::move(own_hello)),
+      events(events), last_heard(base::now()), opened(this->last_heard)
 {
 }
 
@@ -101,10 +105,18 @@
         {
             const auto now = base::now();
             const bool quiet = now - self->last_heard >= ping_after;
-            if (self->ping_pending && now - self->silent_since >= lost_after)
+            const auto silence = self->ping_pending ? now - self->silent_since
+                                                    : base::duration_ms{0};
+            const bool connects = self->initiator && !self->established;
+            if (silence >= lost_after ||
+                (connects && now - self->opened >= connect_limit))
             {
                 self->lose();
             }
+            else if (silence >= silent_after)
+            {
+                self->set_silent(true);
+            }
             else if (awaiting_answers && quiet && !self->ping_pending)
             {
                 self->ping_pending = true;
@@ -130,8 +142,10 @@
         if (message.call != 0)
         {
             this->events.on_down(
-                this->id,
-                {this->peer_instance, this->established, {message.call}});
+                this->id, {this->peer_instance,
+                           this->peer,
+                           this->established,
+                           {message.call}});
         }
         return;
     }
@@ -255,6 +269,7 @@
     this->last_received = header.sequence;
     this->last_heard = now;
     this->ping_pending = false;
+    this->set_silent(false);
     this->deliver(header, this->delays.measure(header.sent_at, now));
     this->read_header();
 }
@@ -307,6 +322,15 @@
     this->lose();
 }
 
+void peer_link::set_silent(bool silent)
+{
+    if (this->reported_silent != silent)
+    {
+        this->reported_silent = silent;
+        this->events.on_silent(this->id, this->peer, silent);
+    }
+}
+
 void peer_link::lose()
 {
     if (this->lost)
@@ -316,7 +340,7 @@
     this->lost = true;
     std::error_code ignored;
     this->socket.close(ignored);
-    link_loss loss{this->peer_instance, this->established, {}};
+    link_loss loss{this->peer_instance, this->peer, this->established, {}};
     for (const auto& message : this->queue)
     {
         if (message.call != 0)
--- a/src/transport/internal/peer_network.cpp
+++ b/src/transport/internal/peer_network.cpp
@@ -12,7 +12,6 @@
 namespace
 {
 constexpr std::size_t max_datagram = 1400;
-constexpr base::duration_ms idle_timeout{60000};
 
 template <class Protocol>
 typename Protocol::endpoint
@@ -46,6 +45,20 @@
             });
         this->events.links.on_up(id, hello);
     };
+    this->wrapped.on_silent =
+        [this](link_id id, const peer_address& peer, bool silent)
+    {
+        this->table.with(
+            [&](auto& table)
+            {
+                const auto found = table.by_id.find(id);
+                if (found != table.by_id.end())
+                {
+                    found->second.silent = silent;
+                }
+            });
+        this->events.links.on_silent(id, peer, silent);
+    };
     this->wrapped.on_down = [this](link_id id, const link_loss& loss)
     {
         this->table.with(
@@ -219,7 +232,10 @@
         {
             for (const auto& [id, item] : table.by_id)
             {
-                links.emplace_back(id, item.link);
+                if (!item.up || item.silent || awaiting.count(id) != 0)
+                {
+                    links.emplace_back(id, item.link);
+                }
             }
         });
     for (const auto& [id, link] : links)
@@ -359,12 +375,12 @@
     auto hello = table.own_hello;
     hello.session = base::random_bits();
     auto link = std::make_shared<peer_link>(
-        this->context, id, this->key, std::move(hello), this->wrapped);
+        this->context, id, this->key, address, std::move(hello), this->wrapped);
     if (table.cut_ports.count(address.port) != 0)
     {
         link->set_cut(true);
     }
-    table.by_id.emplace(id, entry{link, address, false, base::now()});
+    table.by_id.emplace(id, entry{link, address, false, false, base::now()});
     return link;
 }
 
--- a/src/transport/peer_link.hpp
+++ b/src/transport/peer_link.hpp
@@ -21,10 +21,21 @@
 //! Identifies a connection within the process; never reused.
 using link_id = std::uint64_t;
 
+//! Where a node listens.
+struct peer_address
+{
+    std::string host;
+    std::uint32_t port{0};
+
+    auto operator<=>(const peer_address&) const = default;
+};
+
 //! What a lost connection leaves behind.
 struct link_loss
 {
     std::string instance;
+    //! Where the peer listens; empty where it opened the connection.
+    peer_address peer;
     //! The peer had answered the hello.
     bool established{false};
     //! Calls of which no byte was handed to the socket.
@@ -37,6 +48,8 @@
     std::function<void(link_id, const schema::hello&)> on_up;
     std::function<void(link_id, frame)> on_frame;
     std::function<void(link_id, const link_loss&)> on_down;
+    //! The peer does not answer a ping (true), or does again (false).
+    std::function<void(link_id, const peer_address&, bool)> on_silent;
     std::function<void(frame_error)> on_rejected;
     std::function<std::uint64_t()> logical_time;
 };
@@ -47,7 +60,7 @@
 public:
     peer_link(
         asio::io_context& context, link_id id, const std::string& key,
-        schema::hello own_hello, const link_events& events);
+        peer_address peer, schema::hello own_hello, const link_events& events);
 
     //! Connects to a peer.
     void connect(const asio::ip::tcp::endpoint& endpoint);
@@ -63,7 +76,8 @@
     //! Drops all traffic silently while set; for failure tests.
     void set_cut(bool cut);
 
-    //! Sends a ping if the peer is silent; closes after too long a silence.
+    //! Sends a ping if the peer is silent, reports a silence that lasts, and
+    //! closes after too long a silence or wait for the connection.
     void check_silence(bool awaiting_answers);
 
 private:
@@ -84,12 +98,14 @@
     void on_hello(const frame_header& header);
     void deliver(const frame_header& header, base::duration_ms delay);
     void reject(frame_error error);
+    void set_silent(bool silent);
     void lose();
 
     asio::strand<asio::io_context::executor_type> strand;
     asio::ip::tcp::socket socket;
     link_id id;
     frame_codec codec;
+    peer_address peer;
     schema::hello own_hello;
     const link_events& events;
     bool initiator{false};
@@ -105,6 +121,8 @@
     base::time_ms last_heard;
     base::time_ms silent_since;
     bool ping_pending{false};
+    bool reported_silent{false};
+    base::time_ms opened;
     delay_meter delays;
     std::deque<outgoing> queue;
     outgoing in_write;
--- a/src/transport/peer_network.hpp
+++ b/src/transport/peer_network.hpp
@@ -14,15 +14,6 @@
 
 namespace bilberrytally::transport
 {
-//! Where a node listens.
-struct peer_address
-{
-    std::string host;
-    std::uint32_t port{0};
-
-    auto operator<=>(const peer_address&) const = default;
-};
-
 //! Calls from the network to its owner; made on any worker.
 struct network_events
 {
@@ -54,7 +45,7 @@
         const peer_address& peer, frame_kind kind, const std::string& body);
 
     //! Pings silent connections, \p awaiting says which have open calls, and
-    //! closes own ones that have not been used for long.
+    //! closes those that stay silent.
     void check_silence(const std::set<link_id>& awaiting);
 
     //! Announces draining in the hello of later connections.
@@ -75,6 +66,7 @@
         std::shared_ptr<peer_link> link;
         peer_address address;
         bool up{false};
+        bool silent{false};
         base::time_ms last_used;
     };
     struct link_table
--- /dev/null
+++ b/src/transport/tests/silence_test.cpp
@@ -0,0 +1,136 @@
+#include "transport/message_codec.hpp"
+#include "transport/peer_network.hpp"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <functional>
+#include <thread>
+
+using namespace bilberrytally;
+using namespace bilberrytally::transport;
+
+namespace
+{
+constexpr const char* host = "127.0.0.1";
+constexpr std::uint64_t call_id = 7;
+
+//! What the owner of a network was told of its connections.
+struct observed
+{
+    int up{0};
+    int silent{0};
+    int heard{0};
+    int down{0};
+    std::vector<std::uint64_t> unsent;
+};
+
+std::uint32_t free_port()
+{
+    asio::io_context context;
+    const asio::ip::tcp::endpoint any(asio::ip::make_address(host), 0);
+    const asio::ip::tcp::acceptor probe(context, any);
+    return probe.local_endpoint().port();
+}
+
+std::unique_ptr<peer_network>
+open_network(asio::io_context& context, std::uint32_t port, observed& seen)
+{
+    network_events events;
+    events.links.on_up = [&seen](auto, const auto&) { ++seen.up; };
+    events.links.on_frame = [](auto, const auto&) {};
+    events.links.on_down = [&seen](auto, const auto& loss)
+    {
+        ++seen.down;
+        seen.unsent = loss.unsent_calls;
+    };
+    events.links.on_silent = [&seen](auto, const auto&, bool silent)
+    { ++(silent ? seen.silent : seen.heard); };
+    events.links.on_rejected = [](auto) {};
+    events.links.logical_time = [] { return std::uint64_t{1}; };
+    events.on_datagram = [](const auto&) {};
+    schema::hello hello;
+    hello.instance = std::to_string(port);
+    hello.host = host;
+    hello.port = port;
+    auto network = peer_network::open(
+        context, {host, port}, "key", hello, std::move(events));
+    REQUIRE(network);
+    return std::move(*network);
+}
+
+//! Runs the context until \p done, with checks for silence of \p awaiting.
+bool run_until(
+    asio::io_context& context, peer_network& network,
+    const std::set<link_id>& awaiting, std::chrono::milliseconds limit,
+    const std::function<bool()>& done)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!done())
+    {
+        if (std::chrono::steady_clock::now() >= end)
+        {
+            return false;
+        }
+        context.run_for(std::chrono::milliseconds(50));
+        context.restart();
+        network.check_silence(awaiting);
+    }
+    return true;
+}
+} // namespace
+
+TEST_CASE("a peer that falls silent is reported long before it is given up")
+{
+    using namespace std::chrono_literals;
+    asio::io_context context;
+    const auto work = asio::make_work_guard(context);
+    observed own;
+    observed other;
+    const auto port = free_port();
+    const auto network = open_network(context, free_port(), own);
+    const auto peer = open_network(context, port, other);
+    const auto link = network->link_to({host, port});
+    REQUIRE(
+        run_until(context, *network, {link}, 5s, [&] { return own.up > 0; }));
+
+    network->set_cut({port});
+    CHECK(run_until(
+        context, *network, {link}, 1s, [&] { return own.silent == 1; }));
+    CHECK(own.down == 0);
+    network->set_cut({});
+    //! The cut dropped the first ping; a frame of any kind ends the silence.
+    peer->send_to_all(frame_kind::ping, {});
+    CHECK(run_until(
+        context, *network, {link}, 1s, [&] { return own.heard == 1; }));
+
+    network->set_cut({port});
+    CHECK(run_until(
+        context, *network, {link}, 4s, [&] { return own.down == 1; }));
+    CHECK(own.silent == 2);
+    network->close();
+    peer->close();
+    context.run_for(100ms);
+}
+
+TEST_CASE("a connection that is not answered is given up, its calls unsent")
+{
+    using namespace std::chrono_literals;
+    asio::io_context context;
+    const auto work = asio::make_work_guard(context);
+    //! Accepts in the kernel and says nothing.
+    asio::ip::tcp::acceptor mute(
+        context, asio::ip::tcp::endpoint(asio::ip::make_address(host), 0));
+    observed own;
+    const auto network = open_network(context, free_port(), own);
+    const auto link = network->link_to({host, mute.local_endpoint().port()});
+    network->send(link, frame_kind::call, "body", call_id);
+    CHECK(run_until(context, *network, {}, 1s, [&] { return own.down == 1; }));
+    CHECK(own.unsent == std::vector<std::uint64_t>{call_id});
+    network->close();
+    context.run_for(100ms);
+}
