Leave at a planned stop only when all answers are written; test stops with work that runs once

Cause of the known red system_stops: two things. The test: its reads may run twice, and slow ones are re-sent while the first copy is cancelled; with reads slowed by hand it failed each time (read-21-230 twice), without any stop. The product: with reads that run once the test still failed in 8 of 13 runs beside load, 502 connection_lost 1.35 s after the SIGTERM: the node left when its tables were empty, while the last answer (a 3 MB body) was still being written to the peer. Change: a stopping node counts answers that are not yet handed to the system, to peers and to callers, and leaves after 200 ms without any and without calls.

--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -47,5 +47,8 @@
 
     //! Stops accepting connections; open ones go on.
     virtual void close() = 0;
+
+    //! Answers that are not yet handed to the system as a whole.
+    virtual std::size_t unwritten() const = 0;
 };
 } // namespace bilberrytally::http
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -3,6 +3,7 @@
 #include <restinio/all.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <cctype>
 
 namespace bilberrytally::http
@@ -82,7 +83,32 @@
     return total;
 }
 
-void send_response(const restinio::request_handle_t& incoming, response answer)
+using answer_count = std::shared_ptr<std::atomic<std::size_t>>;
+
+//! Counts an answer until it is written or dropped.
+class unwritten_answer
+{
+public:
+    explicit unwritten_answer(answer_count count) : count(std::move(count))
+    {
+        ++*this->count;
+    }
+
+    ~unwritten_answer()
+    {
+        --*this->count;
+    }
+
+    unwritten_answer(const unwritten_answer&) = delete;
+    unwritten_answer& operator=(const unwritten_answer&) = delete;
+
+private:
+    answer_count count;
+};
+
+void send_response(
+    const restinio::request_handle_t& incoming, response answer,
+    const answer_count& count)
 {
     const restinio::http_status_code_t code{
         static_cast<std::uint16_t>(answer.status)};
@@ -97,7 +123,8 @@
         builder.connection_close();
     }
     builder.set_body(std::move(answer.body));
-    builder.done();
+    builder.done([guard = std::make_shared<unwritten_answer>(count)](
+                     const std::error_code&) {});
 }
 
 response refuse_size(std::uint32_t status, const char* title)
@@ -125,7 +152,8 @@
     restinio_http_server(
         asio::io_context& context, const server_settings& limits,
         request_handler on_request, closed_handler on_closed)
-        : server(
+        : count(std::make_shared<std::atomic<std::size_t>>(0)),
+          server(
               restinio::external_io_context(context),
               [&](auto& settings) {
                   this->configure(
@@ -153,11 +181,16 @@
         this->server.close_async([] {}, [](const std::exception_ptr&) {});
     }
 
+    std::size_t unwritten() const override
+    {
+        return *this->count;
+    }
+
 private:
     template <class Settings>
-    static void configure(
+    void configure(
         Settings& settings, const server_settings& limits,
-        const request_handler& on_request, closed_handler on_closed)
+        const request_handler& on_request, closed_handler on_closed) const
     {
         const std::chrono::milliseconds read_limit(limits.read_timeout.count);
         const auto field_limit =
@@ -187,35 +220,38 @@
                     .max_field_value_size(field_limit)
                     .max_body_size(polite(limits.max_body_bytes)))
             .request_handler(
-                [limits, on_request](const restinio::request_handle_t& incoming)
+                [limits, on_request, count = this->count](
+                    const restinio::request_handle_t& incoming)
                 {
-                    handle(limits, on_request, incoming);
+                    handle(limits, on_request, incoming, count);
                     return restinio::request_accepted();
                 });
     }
 
     static void handle(
         const server_settings& limits, const request_handler& on_request,
-        const restinio::request_handle_t& incoming)
+        const restinio::request_handle_t& incoming, const answer_count& count)
     {
         auto received = to_request(*incoming);
         if (header_bytes(received) > limits.max_header_bytes)
         {
             send_response(
-                incoming, refuse_size(431, "request headers too large"));
+                incoming, refuse_size(431, "request headers too large"), count);
             return;
         }
         if (received.body.size() > limits.max_body_bytes)
         {
-            send_response(incoming, refuse_size(413, "request body too large"));
+            send_response(
+                incoming, refuse_size(413, "request body too large"), count);
             return;
         }
         on_request(
             incoming->connection_id(), std::move(received),
-            [incoming](response answer)
-            { send_response(incoming, std::move(answer)); });
+            [incoming, count](response answer)
+            { send_response(incoming, std::move(answer), count); });
     }
 
+    answer_count count;
     restinio_server server;
 };
 } // namespace
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -528,16 +528,22 @@
     {
         const auto& own = this->tables.settings.node;
         const auto since = now - this->stop_requested;
-        const bool idle =
-            this->callers.calls() == 0 && this->targets.calls() == 0;
+        const bool idle = this->callers.calls() == 0 &&
+                          this->targets.calls() == 0 &&
+                          this->network->unwritten() == 0 &&
+                          this->caller_server->unwritten() == 0;
+        if (!idle)
+        {
+            this->busy_at = now;
+        }
         if (!this->closing && since >= base::duration_ms{own.drain_min_ms})
         {
             this->closing = true;
-            this->closed_at = now;
+            this->busy_at = now;
             this->caller_server->close();
         }
         //! Requests on connections accepted last are still served.
-        if (idle && this->closing && now - this->closed_at >= last_requests)
+        if (this->closing && now - this->busy_at >= last_requests)
         {
             LOG(INFO) << "event=drained";
             this->stop(0);
@@ -587,7 +593,8 @@
     base::time_ms last_restore;
     base::time_ms stop_requested;
     bool closing{false};
-    base::time_ms closed_at;
+    //! When work or unwritten answers were left last.
+    base::time_ms busy_at;
     std::vector<std::thread> workers;
     std::mutex stop_mutex;
     std::condition_variable stop_changed;
--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -151,6 +151,17 @@
     }
     this->queue.push_back(std::move(message));
     this->write_next();
+    this->count_unwritten();
+}
+
+std::size_t peer_link::unwritten() const
+{
+    return this->unwritten_messages;
+}
+
+void peer_link::count_unwritten()
+{
+    this->unwritten_messages = this->queue.size() + (this->writing ? 1 : 0);
 }
 
 void peer_link::write_next()
@@ -194,6 +205,7 @@
                 return;
             }
             self->write_next();
+            self->count_unwritten();
         });
 }
 
@@ -349,6 +361,8 @@
         }
     }
     this->queue.clear();
+    this->writing = false;
+    this->count_unwritten();
     this->events.on_down(this->id, loss);
 }
 } // namespace bilberrytally::transport
--- a/src/transport/internal/peer_network.cpp
+++ b/src/transport/internal/peer_network.cpp
@@ -244,6 +244,20 @@
     }
 }
 
+std::size_t peer_network::unwritten()
+{
+    return this->table.with(
+        [](auto& table)
+        {
+            std::size_t total = 0;
+            for (const auto& [id, item] : table.by_id)
+            {
+                total += item.up ? item.link->unwritten() : 0;
+            }
+            return total;
+        });
+}
+
 void peer_network::set_draining(bool draining)
 {
     this->table.with([&](auto& table) { table.own_hello.draining = draining; });
--- a/src/transport/peer_link.hpp
+++ b/src/transport/peer_link.hpp
@@ -9,6 +9,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/strand.hpp>
 
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -70,6 +71,9 @@
     //! Queues a message; \p call names the call it carries, 0 for none.
     void send(frame_kind kind, std::string body, std::uint64_t call);
 
+    //! Messages that are not yet handed to the system as a whole.
+    std::size_t unwritten() const;
+
     //! Closes the connection; on_down follows.
     void close();
 
@@ -99,6 +103,7 @@
     void deliver(const frame_header& header, base::duration_ms delay);
     void reject(frame_error error);
     void set_silent(bool silent);
+    void count_unwritten();
     void lose();
 
     asio::strand<asio::io_context::executor_type> strand;
@@ -125,6 +130,7 @@
     base::time_ms opened;
     delay_meter delays;
     std::deque<outgoing> queue;
+    std::atomic<std::size_t> unwritten_messages{0};
     outgoing in_write;
     header_bytes write_header{};
     header_bytes read_header_bytes{};
--- a/src/transport/peer_network.hpp
+++ b/src/transport/peer_network.hpp
@@ -48,6 +48,10 @@
     //! closes those that stay silent.
     void check_silence(const std::set<link_id>& awaiting);
 
+    //! Messages on established connections that are not yet handed to the
+    //! system as a whole.
+    std::size_t unwritten();
+
     //! Announces draining in the hello of later connections.
     void set_draining(bool draining);
 
--- a/tests/system/test_stops.py
+++ b/tests/system/test_stops.py
@@ -13,15 +13,27 @@
     route("/read", repeatable=True, priority=2),
     route("/firmware", repeatable=True, priority=5, long_work=True)])
 
+# Reads that are never sent twice: a second copy would hide a cut, and slow calls would be cut
+# by their own second copies.
+RUN_ONCE = policy("events", slots=40, routes=[
+    route("/read", repeatable=False, key_required=False, priority=2),
+    route("/firmware", repeatable=False, key_required=False, priority=5, long_work=True)])
+
 
 class PlannedStops(unittest.TestCase):
     def test_nodes_drain_without_cutting(self):
         with Fleet({"events": {"targets": 4, "slots": 40}}) as fleet:
-            fleet.set_up([POLICY])
+            fleet.set_up([RUN_ONCE])
             stays, goes = fleet.instances[:2], fleet.instances[2:]
             load = fleet.load([READ, DOWNLOAD], [{"seconds": 6, "factor": 1}], 21, nodes=stays,
                               start_only=True)
-            time.sleep(2)
+            time.sleep(1.8)
+            # Slow work is on its way at all targets when the stops begin.
+            for instance in fleet.instances:
+                instance.control("slow=15")
+            time.sleep(0.2)
+            for instance in fleet.instances:
+                instance.control("slow=1")
             for instance in goes:
                 instance.node.send_signal(signal.SIGTERM)
                 time.sleep(1)
@@ -31,9 +43,11 @@
                        if not k.startswith(("ran/200", "not_run"))}
                 self.assertEqual(cut, {})
                 self.assertEqual(total["wrong_answers"], 0)
+                self.assertGreater(total["good"], 0.9 * total["requests"])
             self.assertEqual([i.node.wait(30) for i in goes], [0, 0])
             starts, ends = fleet.executions("start"), fleet.executions("end")
             self.assertEqual(starts, ends, "work that was cut")
+            self.assertEqual(set(starts.values()), {1}, "work that ran twice")
 
     def test_second_signal_and_limit_cut(self):
         with Fleet({"events": {"targets": 2}}, {"node": {"drain_limit_ms": 1000}}) as fleet:
