Let calls down the graph share their root's priority, deadline and retry charge

Change: where the id of a call begins with the id of a request being served beside this node, the call joins that chain: priority of the root, depth, its deadline, cancelled with it, and charged as a repeat where the root was retried. Classes: root's priority first, within it roots last. A failure below is known by the child, not by the clock. The share of the budget is 0.7 once links are seen, 0.4 else. The separator is data of the dialect; without it or with other ids all is as before (a hint; question to the users stays open).

--- a/src/decisions/admission.hpp
+++ b/src/decisions/admission.hpp
@@ -24,6 +24,12 @@
 //! Number of priority classes; 0 is the most important.
 constexpr std::uint32_t priority_classes = 10;
 
+//! Order in which calls are shed where chains of calls are told apart, 0
+//! last: by the priority of the chain's root, and within it first the roots,
+//! on which no work is spent yet. For load that outgrows the targets deep in
+//! the graph, which all chains share.
+std::uint32_t shed_class(std::uint32_t root_priority, std::uint32_t depth);
+
 //! What admission needs to know of a call.
 struct admission_request
 {
--- a/src/decisions/internal/admission.cpp
+++ b/src/decisions/internal/admission.cpp
@@ -31,6 +31,14 @@
 }
 } // namespace
 
+std::uint32_t shed_class(std::uint32_t root_priority, std::uint32_t depth)
+{
+    constexpr std::uint32_t classes_per_priority = 2;
+    const auto lowest = priority_classes - 1;
+    const auto first = std::min(root_priority, lowest) * classes_per_priority;
+    return std::min(first + (depth == 0 ? 1 : 0), lowest);
+}
+
 admission::admission(std::uint32_t slots, policy_variant variant)
     : variant(variant), limit(slots), max_wait(default_max_wait)
 {
--- a/src/decisions/internal/retry_window.cpp
+++ b/src/decisions/internal/retry_window.cpp
@@ -24,6 +24,12 @@
     ++this->current(service, now).fresh;
 }
 
+void retry_window::on_repeated_call(
+    const std::string& service, base::time_ms now)
+{
+    ++this->current(service, now).retries;
+}
+
 bool retry_window::has_room(const std::string& service, base::time_ms now)
 {
     this->current(service, now);
--- a/src/decisions/retry_window.hpp
+++ b/src/decisions/retry_window.hpp
@@ -21,6 +21,9 @@
 
     void on_fresh_call(const std::string& service, base::time_ms now);
 
+    //! Counts a call that repeats one, since a call above it was retried.
+    void on_repeated_call(const std::string& service, base::time_ms now);
+
     //! True if a retry would keep the bound.
     bool has_room(const std::string& service, base::time_ms now);
 
--- a/src/decisions/tests/admission_test.cpp
+++ b/src/decisions/tests/admission_test.cpp
@@ -4,11 +4,15 @@
 #include <rapidcheck.h>
 
 #include <map>
+#include <utility>
+#include <vector>
 
 using namespace bilberrytally;
 using decisions::admission;
 using decisions::admission_request;
 using decisions::completion;
+using decisions::priority_classes;
+using decisions::shed_class;
 
 namespace
 {
@@ -24,6 +28,70 @@
 }
 } // namespace
 
+TEST_CASE("calls of a chain go by their root's priority, before its like")
+{
+    CHECK(shed_class(0, 1) < shed_class(0, 0));
+    CHECK(shed_class(0, 0) < shed_class(2, 3));
+    CHECK(shed_class(2, 1) < shed_class(2, 0));
+    CHECK(shed_class(2, 1) == shed_class(2, 4));
+    CHECK(shed_class(4000000000U, 0) == priority_classes - 1);
+}
+
+TEST_CASE("short of room, the important chain keeps all of its calls")
+{
+    //! Two chains make calls at a target with room for a third of them.
+    admission gate(10);
+    schema::service_policy policy;
+    policy.slots = 10;
+    policy.max_wait_ms = 500;
+    gate.apply(policy);
+    std::map<std::uint64_t, std::uint32_t> classes;
+    std::map<std::uint32_t, int> refused;
+    std::map<std::uint32_t, int> started;
+    std::vector<std::uint64_t> running;
+    const auto note = [&](const decisions::admission_actions& actions)
+    {
+        for (const auto id : actions.start)
+        {
+            ++started[classes[id]];
+            running.push_back(id);
+        }
+        for (const auto& item : actions.refuse)
+        {
+            ++refused[classes[item.id]];
+        }
+    };
+    std::uint64_t id = 0;
+    for (std::int64_t now = 0; now < 5000; now += 5)
+    {
+        if (now % 50 == 0)
+        {
+            for (const auto ended : std::exchange(running, {}))
+            {
+                note(gate.finish(ended, completion::served, {50}, {now}));
+            }
+        }
+        //! 60 important calls a second, 540 others, 200 can be served.
+        const auto lesser = shed_class(2, 1);
+        const auto important = shed_class(0, 1);
+        for (int i = 0; i < 3; ++i)
+        {
+            ++id;
+            classes[id] = now % 50 == 0 && i == 0 ? important : lesser;
+            admission_request request;
+            request.id = id;
+            request.priority = classes[id];
+            request.depth = 1;
+            request.deadline = {now + 700};
+            request.route = 1;
+            note(gate.offer(request, {now}));
+        }
+    }
+    CHECK(refused[shed_class(0, 1)] == 0);
+    CHECK(started[shed_class(0, 1)] >= 95);
+    CHECK(started[shed_class(2, 1)] > 500);
+}
+
 TEST_CASE("calls start up to the limit, then the most important next")
 {
     admission target(1);
--- a/src/decisions/tests/retry_window_test.cpp
+++ b/src/decisions/tests/retry_window_test.cpp
@@ -86,6 +86,26 @@
     }
 }
 
+TEST_CASE("calls that repeat since their root was retried use up the budget")
+{
+    retry_window budget;
+    budget.set_limits(0.2, 0, window);
+    for (int i = 0; i < 100; ++i)
+    {
+        budget.on_fresh_call("s", {i});
+    }
+    for (int i = 0; i < 15; ++i)
+    {
+        budget.on_repeated_call("s", {100});
+    }
+    int allowed = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        allowed += budget.allow_retry("s", {101}) ? 1 : 0;
+    }
+    CHECK(allowed == 5);
+}
+
 TEST_CASE("services have budgets of their own, and an idle one keeps its extra")
 {
     retry_window budget;
--- a/src/directory/dialect.hpp
+++ b/src/directory/dialect.hpp
@@ -20,6 +20,9 @@
     std::string signature;
     //! Service of the instance beside which the request began.
     std::string caller_service;
+    //! Where the id of a call that a target makes begins with the id of the
+    //! request that it runs, the character after it; 0 where ids say nothing.
+    char id_separator{0};
 
     bool operator==(const dialect&) const = default;
 };
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -230,6 +230,7 @@
 {
     const auto id = fresh.id;
     const auto service = fresh.call.service;
+    const bool repeated = fresh.call.rerun;
     const auto percent = this->tables.documents.with(
         [&](auto& store)
         {
@@ -244,6 +245,10 @@
             if (this->tables.names)
             {
                 table.fleet_retries.on_fresh_call(service, base::now());
+                if (repeated)
+                {
+                    table.fleet_retries.on_repeated_call(service, base::now());
+                }
                 return;
             }
             table.retries.on_fresh_call(service, percent);
@@ -266,7 +271,9 @@
         this->targets.give_back(
             call->parent, call->budget.left(), call->dispatches);
     }
-    if (call->call.rerun && verdict_of(answer) == verdict::not_run)
+    const bool may_have_run =
+        this->tables.names ? call->earlier_may_have_run : call->call.rerun;
+    if (may_have_run && verdict_of(answer) == verdict::not_run)
     {
         //! The last attempt did not run, but an earlier one may have.
         answer.verdict = static_cast<std::uint32_t>(verdict::may_have_run);
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -86,8 +86,10 @@
     bool may_retry_routed(origin_call& call, const schema::answer& answer);
     bool has_untried_target(const origin_call& call);
     bool has_spare_target(const origin_call& call);
-    void
-    log_outcome(const origin_call& call, const schema::answer& answer) const;
+    void log_outcome(const origin_call& call, const schema::answer& answer);
+    //! Takes over what a call down the graph shares with the one that causes
+    //! it, where its id tells which that is.
+    void join_chain(origin_call& fresh, std::string_view request_id);
     //! When a refused caller is to come back.
     static base::duration_ms retry_after();
     bool resend_allowed(const origin_call& call);
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -63,7 +63,8 @@
             const auto now = base::now();
             const bool full = decisions::is_full(this->tables.variant);
             if (full &&
-                targets.floor_refuses(call.call.priority, table.random, now))
+                targets.floor_refuses(
+                    this->tables.shed_class(call.call), table.random, now))
             {
                 reason = refusal::overload;
                 return;
@@ -457,7 +458,8 @@
     {
         call.call.struck_by.push_back(answer.body);
     }
-    call.call.rerun |= verdict_of(answer) != verdict::not_run;
+    call.earlier_may_have_run |= verdict_of(answer) != verdict::not_run;
+    call.call.rerun |= call.earlier_may_have_run;
     const bool struck =
         !call.call.struck_by.empty() || answer.reason == refusal::suspected;
     this->tables.with_targets(
@@ -638,6 +640,7 @@
             call.earlier = call.present();
             call.attempt = 0;
             call.local_serving = 0;
+            call.earlier_may_have_run = true;
             call.call.rerun = true;
             ++call.history.arrivals;
         });
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -88,9 +88,32 @@
     call.repeatable = way.repeatable;
     call.root = fresh.id;
     call.priority = way.priority;
+    this->join_chain(
+        fresh, http::find_header(request.headers, names.request_id));
     return fresh;
 }
 
+void caller_side::join_chain(origin_call& fresh, std::string_view request_id)
+{
+    if (this->tables.names->id_separator == 0)
+    {
+        return;
+    }
+    const auto parent = this->targets.find_context(request_id);
+    if (!parent)
+    {
+        return;
+    }
+    this->tables.chains_linked = true;
+    fresh.parent = parent->serving;
+    fresh.deadline = std::min(fresh.deadline, parent->deadline);
+    auto& call = fresh.call;
+    call.root = parent->root;
+    call.depth = parent->depth + 1;
+    call.priority = parent->priority;
+    call.rerun = parent->rerun;
+}
+
 answer_handler
 caller_side::make_routed_reply(const origin_call& call, http::respond respond)
 {
@@ -129,8 +152,7 @@
         break;
     }
     return this->tables.routing.with(
-        [&](routing_table& table)
-        {
+        [&](routing_table& table) {
             return table.fleet_retries.allow_retry(
                 call.call.service, base::now());
         });
@@ -162,7 +184,7 @@
 }
 
 void caller_side::log_outcome(
-    const origin_call& call, const schema::answer& answer) const
+    const origin_call& call, const schema::answer& answer)
 {
     const auto outcome = verdict_of(answer);
     const bool failed =
@@ -173,11 +195,16 @@
     }
     const auto now = base::now();
     this->tables.last_failure = now.count;
+    if (call.parent != 0)
+    {
+        this->targets.note_child_failure(call.parent);
+    }
     LOG(INFO) << "event=request_failed id="
               << http::find_header(
                      call.call.headers, this->tables.names->request_id)
               << " service=" << call.call.service << " path=" << call.call.path
               << " priority=" << call.call.priority
+              << " depth=" << call.call.depth
               << " verdict=" << base::to_string(outcome)
               << " reason=" << schema::to_string(answer.reason)
               << " status=" << answer.status << " target=" << call.target
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -20,8 +20,11 @@
 //! Share of the store's rate that waiting watches may take.
 constexpr std::uint64_t watch_share = 4;
 constexpr std::int64_t ms_per_s = 1000;
-//! The rest of the budget is for the calls that retries cause further down.
+//! Part of the fleet's budget that is shared out. Where calls are not linked
+//! to those that cause them, the rest is for the calls that retries cause
+//! further down.
 constexpr double retry_share = 0.4;
+constexpr double linked_retry_share = 0.7;
 constexpr base::duration_ms drain_lapse{1000};
 constexpr std::uint32_t queue_limit_ms = 2000;
 } // namespace
@@ -265,7 +268,9 @@
 {
     const auto nodes = this->state.with([](follow_state& state)
                                         { return state.view.target_count(); });
-    const auto part = this->fleet.retry_extra * retry_share /
+    this->shared_linked = this->tables.chains_linked;
+    const double share = this->shared_linked ? linked_retry_share : retry_share;
+    const auto part = this->fleet.retry_extra * share /
                       static_cast<double>(std::max<std::size_t>(nodes, 1));
     const base::duration_ms window{
         std::llround(this->fleet.retry_window_s * ms_per_s)};
@@ -273,8 +278,7 @@
         [&](routing_table& table)
         {
             table.fleet_retries.set_limits(
-                this->fleet.retry_ratio * retry_share, std::max(part, 1.0),
-                window);
+                this->fleet.retry_ratio * share, std::max(part, 1.0), window);
         });
 }
 
@@ -379,6 +383,10 @@
             return state.view.tick(now);
         });
     this->apply(change);
+    if (this->shared_linked != this->tables.chains_linked)
+    {
+        this->apply_retry_limits();
+    }
     this->send_digest(now);
     this->check_progress(now);
 }
--- a/src/node/internal/directory_follower.hpp
+++ b/src/node/internal/directory_follower.hpp
@@ -73,6 +73,8 @@
     node_tables& tables;
     std::function<void(const schema::service_policy&)> on_own_policy;
     schema::node_settings::fleet_section fleet;
+    //! The retry budget is shared out as for linked calls.
+    bool shared_linked{false};
     transport::peer_network* network{nullptr};
     base::guarded<follow_state, documents_rank> state;
 };
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -1,7 +1,11 @@
 #include "node/internal/node_tables.hpp"
 
+#include "decisions/admission.hpp"
+
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace bilberrytally::node
 {
 namespace
@@ -33,6 +37,13 @@
         });
 }
 
+std::uint32_t node_tables::shed_class(const schema::call& call) const
+{
+    return this->names
+               ? decisions::shed_class(call.priority, call.depth)
+               : std::min(call.priority, decisions::priority_classes - 1);
+}
+
 void node_tables::note(timeline::event entry)
 {
     this->counts.on_event(entry.kind);
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -72,6 +72,9 @@
             });
     }
 
+    //! Class by which a call is shed.
+    std::uint32_t shed_class(const schema::call& call) const;
+
     //! Records an event in the time line and counts it.
     void note(timeline::event entry);
 
@@ -85,6 +88,8 @@
     metrics counts;
     timeline::timeline events;
     std::atomic<bool> draining{false};
+    //! Ids of calls down the graph name the requests that cause them.
+    std::atomic<bool> chains_linked{false};
     //! When a request that began here failed last, ms on the monotonic clock.
     std::atomic<std::int64_t> last_failure{INT64_MIN / 2};
     base::guarded<decisions::key_records, keys_rank> keys;
--- a/src/node/internal/origin_call.hpp
+++ b/src/node/internal/origin_call.hpp
@@ -66,6 +66,9 @@
     //! Names the requests whose latencies are learned together.
     std::string latency_group;
 
+    //! An earlier attempt of this call may have run.
+    bool earlier_may_have_run{false};
+
     //! Dispatches so far.
     std::uint32_t dispatches{0};
     //! The context had no extra attempt left for this call.
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -84,11 +84,21 @@
                 table.by_remote.emplace(
                     std::pair(fresh.link, fresh.call.id), id);
             }
+            if (this->tables.names)
+            {
+                table.by_request[this->request_id(fresh.call)] = id;
+            }
             table.calls.emplace(id, std::move(fresh));
         });
     return id;
 }
 
+std::string target_side::request_id(const schema::call& call) const
+{
+    return std::string(
+        http::find_header(call.headers, this->tables.names->request_id));
+}
+
 std::optional<schema::refusal>
 target_side::refusal_before_admission(const serving_call& call) const
 {
@@ -182,9 +192,8 @@
             }
             const auto& content = call.call;
             actions = table.admission.offer(
-                {id,
-                 std::min(content.priority, decisions::priority_classes - 1),
-                 content.depth, base::combine(content.root, 0), call.deadline,
+                {id, this->tables.shed_class(content), content.depth,
+                 base::combine(content.root, 0), call.deadline,
                  content.long_work, route_key(content)},
                 now);
         });
@@ -211,7 +220,7 @@
 }
 
 std::optional<target_side::removed_call>
-target_side::remove(serving_table& table, std::uint64_t id)
+target_side::remove(serving_table& table, std::uint64_t id) const
 {
     const auto found = table.calls.find(id);
     if (found == table.calls.end())
@@ -221,6 +230,15 @@
     removed_call removed{std::move(found->second), {}};
     table.calls.erase(found);
     table.by_remote.erase({removed.call.link, removed.call.call.id});
+    if (this->tables.names)
+    {
+        const auto named =
+            table.by_request.find(this->request_id(removed.call.call));
+        if (named != table.by_request.end() && named->second == id)
+        {
+            table.by_request.erase(named);
+        }
+    }
     if (!removed.call.trial)
     {
         return removed;
@@ -243,7 +261,7 @@
     std::uint64_t id, schema::refusal reason, const std::string& detail)
 {
     auto removed = this->serving.with([&](serving_table& table)
-                                      { return remove(table, id); });
+                                      { return this->remove(table, id); });
     if (!removed)
     {
         return;
@@ -374,7 +392,51 @@
                 call.deadline,
                 call.budget.take_for_child(),
                 call.call.rerun,
-                affordable};
+                affordable,
+                serving};
+        });
+}
+
+std::optional<parent_context>
+target_side::find_context(std::string_view request_id)
+{
+    const auto end = request_id.rfind(this->tables.names->id_separator);
+    if (end == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    const std::string parent(request_id.substr(0, end));
+    return this->serving.with(
+        [&](serving_table& table) -> std::optional<parent_context>
+        {
+            const auto found = table.by_request.find(parent);
+            if (found == table.by_request.end())
+            {
+                return std::nullopt;
+            }
+            const auto& call = table.calls.at(found->second);
+            return parent_context{
+                call.call.root,
+                call.call.depth,
+                call.call.priority,
+                call.deadline,
+                0,
+                call.call.rerun,
+                true,
+                found->second};
+        });
+}
+
+void target_side::note_child_failure(std::uint64_t serving)
+{
+    this->serving.with(
+        [&](serving_table& table)
+        {
+            const auto found = table.calls.find(serving);
+            if (found != table.calls.end())
+            {
+                found->second.child_failed = true;
+            }
         });
 }
 
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -33,6 +33,8 @@
     bool rerun{false};
     //! False where the call would be an extra dispatch and none is left.
     bool affordable{true};
+    //! The call being served.
+    std::uint64_t serving{0};
 };
 
 //! A row for operators: a call at the own backend server.
@@ -75,6 +77,10 @@
     //! Context for a call that the backend server makes while serving;
     //! takes a part of the retry budget.
     std::optional<parent_context> take_context(std::uint64_t serving);
+    //! Context for a call whose id begins with that of a request being served.
+    std::optional<parent_context> find_context(std::string_view request_id);
+    //! A call that the backend server made while serving has failed.
+    void note_child_failure(std::uint64_t serving);
     //! Returns what a call down the graph did not spend, with the number of
     //! dispatches that it caused.
     void give_back(
@@ -112,6 +118,8 @@
         std::uint32_t descendants{0};
         phase state{phase::waiting};
         bool trial{false};
+        //! A call that the backend server made for this one has failed.
+        bool child_failed{false};
         std::uint64_t transfer{0};
     };
 
@@ -122,6 +130,8 @@
         std::unordered_map<std::uint64_t, serving_call> calls;
         std::map<std::pair<transport::link_id, std::uint64_t>, std::uint64_t>
             by_remote;
+        //! By the id of the caller's attempt.
+        std::unordered_map<std::string, std::uint64_t> by_request;
         std::deque<std::uint64_t> trial_queue;
         std::map<transport::link_id, base::time_ms> last_load;
         std::uint32_t shed_status{0};
@@ -141,9 +151,10 @@
         std::vector<std::uint64_t> released;
     };
 
-    static std::optional<removed_call>
-    remove(serving_table& table, std::uint64_t id);
+    std::optional<removed_call>
+    remove(serving_table& table, std::uint64_t id) const;
     std::uint64_t add(serving_call fresh);
+    std::string request_id(const schema::call& call) const;
     void admit(std::uint64_t id);
     std::optional<schema::refusal>
     refusal_before_admission(const serving_call& call) const;
@@ -174,7 +185,7 @@
         base::duration_ms remaining) const;
     schema::answer to_answer(
         const schema::call& call, http::transfer_result& result,
-        std::uint32_t shed_status) const;
+        std::uint32_t shed_status, bool child_failed) const;
 
     node_tables& tables;
     std::unique_ptr<http::http_client> client;
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -172,7 +172,7 @@
 
 schema::answer target_side::to_answer(
     const schema::call& call, http::transfer_result& result,
-    std::uint32_t shed_status) const
+    std::uint32_t shed_status, bool child_failed) const
 {
     using base::verdict;
     switch (result.outcome)
@@ -195,8 +195,11 @@
         auto answer = routed_answer(result.answer, call, *this->tables.names);
         const base::duration_ms since{
             base::now().count - this->tables.last_failure.load()};
-        answer.failed_below =
-            answer.status >= first_error_status && since <= failure_reach;
+        //! Without links between calls, a failure that began here a moment
+        //! ago is taken as the cause.
+        const bool below =
+            this->tables.chains_linked ? child_failed : since <= failure_reach;
+        answer.failed_below = answer.status >= first_error_status && below;
         return answer;
     }
     if (shed_status != 0 && result.answer.status == shed_status)
@@ -218,14 +221,19 @@
     const auto outcome = result.outcome;
     const base::duration_ms duration{
         static_cast<std::int64_t>(result.duration_ms)};
+    bool child_failed = false;
     const auto call = this->serving.with(
         [&](serving_table& table)
         {
             const auto found = table.calls.find(id);
-            return found == table.calls.end() ? schema::call{}
-                                              : found->second.call;
+            if (found == table.calls.end())
+            {
+                return schema::call{};
+            }
+            child_failed = found->second.child_failed;
+            return found->second.call;
         });
-    auto answer = this->to_answer(call, result, shed_status);
+    auto answer = this->to_answer(call, result, shed_status, child_failed);
     if (outcome == http::transfer_outcome::broken)
     {
         this->probe_after_break(id, answer);
@@ -321,7 +329,7 @@
     auto removed = this->serving.with(
         [&](serving_table& table)
         {
-            auto result = remove(table, id);
+            auto result = this->remove(table, id);
             if (result)
             {
                 actions = table.admission.finish(id, kind, service_time, now);
