Share the store's watches: few nodes watch and tell their groups

Change: zones are cut into groups of at most 32; the first one or two nodes of each by hash watch (decisions/watch_group), tell their group and the watching nodes of all groups by datagram at each change and every 0.4 s, and those that lack items ask for them. A node that hears of no watching node for 0.9 s watches by itself, as does one that has woken. What a node tells is the revision up to which it knows all changes, no longer the highest it saw, so that a half-read store is not taken for a whole one. Ruled out: longer waits (calls follow changes, not waits), random gossip alone (3 s and more over 90 nodes).

--- /dev/null
+++ b/src/decisions/internal/watch_group.cpp
@@ -0,0 +1,90 @@
+#include "decisions/watch_group.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace bilberrytally::decisions
+{
+namespace
+{
+constexpr std::size_t largest_group = 32;
+//! Groups up to this size have one watching node, larger ones two.
+constexpr std::size_t small_group = 6;
+
+using group = std::vector<std::string>;
+
+std::vector<group> split_zone(const group& hosts)
+{
+    const auto count = (hosts.size() + largest_group - 1) / largest_group;
+    std::vector<group> groups(count);
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+    {
+        groups[i * count / hosts.size()].push_back(hosts[i]);
+    }
+    return groups;
+}
+
+group watching_nodes(group members)
+{
+    const std::size_t count = members.size() > small_group ? 2 : 1;
+    std::sort(
+        members.begin(), members.end(),
+        [](const auto& a, const auto& b)
+        { return base::hash_parts({a}) < base::hash_parts({b}); });
+    members.resize(std::min(count, members.size()));
+    return members;
+}
+
+bool contains(const group& members, const std::string& host)
+{
+    return std::find(members.begin(), members.end(), host) != members.end();
+}
+
+void add(group& to, const group& hosts, const std::string& except)
+{
+    for (const auto& host : hosts)
+    {
+        if (host != except && !contains(to, host))
+        {
+            to.push_back(host);
+        }
+    }
+}
+} // namespace
+
+watch_role
+choose_watch_role(const std::string& self, std::vector<fleet_member> members)
+{
+    std::sort(members.begin(), members.end());
+    std::map<std::string, group> zones;
+    for (const auto& member : members)
+    {
+        auto& hosts = zones[member.zone];
+        if (hosts.empty() || hosts.back() != member.host)
+        {
+            hosts.push_back(member.host);
+        }
+    }
+    group own;
+    group watching;
+    for (const auto& [zone, hosts] : zones)
+    {
+        for (const auto& part : split_zone(hosts))
+        {
+            add(watching, watching_nodes(part), "");
+            own = contains(part, self) ? part : own;
+        }
+    }
+    watch_role role;
+    //! A node that is not listed yet looks after itself.
+    role.watches = own.empty() || contains(watching, self);
+    if (role.watches)
+    {
+        add(role.tells, own, self);
+        add(role.tells, watching, self);
+    }
+    return role;
+}
+} // namespace bilberrytally::decisions
--- /dev/null
+++ b/src/decisions/tests/watch_group_test.cpp
@@ -0,0 +1,93 @@
+#include "decisions/watch_group.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace bilberrytally::decisions;
+
+namespace
+{
+std::vector<fleet_member> make_fleet(int nodes, int zones)
+{
+    std::vector<fleet_member> members;
+    for (int i = 0; i < nodes; ++i)
+    {
+        members.push_back(
+            {"10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250),
+             "zone-" + std::to_string(i % zones)});
+    }
+    return members;
+}
+} // namespace
+
+TEST_CASE("every node watches or is told by nodes that do, in its own zone")
+{
+    for (const auto& [nodes, zones] : std::map<int, int>{
+             {1, 1}, {5, 5}, {12, 3}, {13, 1}, {90, 3}, {300, 4}})
+    {
+        const auto fleet = make_fleet(nodes, zones);
+        std::map<std::string, std::string> zone_of;
+        std::set<std::string> watching;
+        std::map<std::string, std::set<std::string>> told_by;
+        for (const auto& member : fleet)
+        {
+            zone_of[member.host] = member.zone;
+            const auto role = choose_watch_role(member.host, fleet);
+            CHECK((role.watches || role.tells.empty()));
+            if (role.watches)
+            {
+                watching.insert(member.host);
+            }
+            for (const auto& host : role.tells)
+            {
+                CHECK(host != member.host);
+                told_by[host].insert(member.host);
+            }
+        }
+        for (const auto& member : fleet)
+        {
+            int own_zone = watching.count(member.host) != 0 ? 1 : 0;
+            for (const auto& teller : told_by[member.host])
+            {
+                own_zone += zone_of[teller] == member.zone ? 1 : 0;
+            }
+            CHECK(own_zone >= 1);
+        }
+        //! Watching nodes tell each other, so that one that the store has left
+        //! alone is told by the others.
+        for (const auto& host : watching)
+        {
+            CHECK(told_by[host].size() >= watching.size() - 1);
+        }
+    }
+}
+
+TEST_CASE("watches grow slower than the fleet, and so does what one node tells")
+{
+    const auto fleet = make_fleet(300, 3);
+    int watching = 0;
+    for (const auto& member : fleet)
+    {
+        const auto role = choose_watch_role(member.host, fleet);
+        watching += role.watches ? 1 : 0;
+        CHECK(role.tells.size() <= 32 + 30);
+    }
+    CHECK(watching <= 30);
+    CHECK(watching >= 6);
+}
+
+TEST_CASE("roles do not depend on the order of the list, nor on doubles")
+{
+    auto fleet = make_fleet(40, 3);
+    const auto role = choose_watch_role("10.0.0.7", fleet);
+    fleet.insert(fleet.end(), fleet.rbegin(), fleet.rend());
+    CHECK(choose_watch_role("10.0.0.7", fleet) == role);
+}
+
+TEST_CASE("a node that is not listed watches by itself")
+{
+    CHECK(choose_watch_role("10.9.9.9", make_fleet(40, 3)).watches);
+    CHECK(choose_watch_role("10.9.9.9", {}).watches);
+}
--- a/src/directory/fleet_view.hpp
+++ b/src/directory/fleet_view.hpp
@@ -60,8 +60,10 @@
     //! Addresses at which targets are published.
     std::size_t target_count() const;
 
-    //! Highest revision of any item known.
+    //! All changes up to this revision are known.
     std::uint64_t revision() const;
+    //! All changes up to \p revision have been merged.
+    void advance(std::uint64_t revision);
 
     //! Items changed after \p revision, for a peer that lacks them.
     std::vector<schema::published_item>
@@ -100,6 +102,6 @@
     //! Keys of the entries that name a target at an address.
     std::map<target_place, std::set<std::string>> by_place;
     std::optional<fleet_configuration> current;
-    std::uint64_t highest{0};
+    std::uint64_t complete{0};
 };
 } // namespace bilberrytally::directory
--- a/src/directory/internal/fleet_view.cpp
+++ b/src/directory/internal/fleet_view.cpp
@@ -38,7 +38,6 @@
     {
         return change;
     }
-    this->highest = std::max(this->highest, item.revision);
     known.item = item;
     this->take(known, this->decode(item), now, change);
     return change;
@@ -161,7 +160,7 @@
             this->take_removal(known, now, change);
         }
     }
-    this->highest = std::max(this->highest, revision);
+    this->advance(revision);
     return change;
 }
 
@@ -235,7 +234,12 @@
 
 std::uint64_t fleet_view::revision() const
 {
-    return this->highest;
+    return this->complete;
+}
+
+void fleet_view::advance(std::uint64_t revision)
+{
+    this->complete = std::max(this->complete, revision);
 }
 
 std::vector<schema::published_item>
--- a/src/directory/internal/store_watcher.cpp
+++ b/src/directory/internal/store_watcher.cpp
@@ -37,7 +37,7 @@
 
 void store_watcher::tick(base::time_ms now, base::duration_ms wait)
 {
-    if (this->reading || now < this->next_read)
+    if (this->paused || this->reading || now < this->next_read)
     {
         return;
     }
@@ -73,6 +73,26 @@
     };
 }
 
+void store_watcher::pause()
+{
+    ++this->generation;
+    this->reading = false;
+    this->paused = true;
+    this->page_after.clear();
+    this->snapshot_keys.clear();
+}
+
+void store_watcher::resume(std::uint64_t revision)
+{
+    this->paused = false;
+    this->revision = std::max(this->revision, revision);
+}
+
+bool store_watcher::is_paused() const
+{
+    return this->paused;
+}
+
 void store_watcher::restart()
 {
     ++this->generation;
@@ -141,6 +161,7 @@
     if (!this->snapshot_due)
     {
         this->revision = std::max(this->revision, changes->revision);
+        this->events.on_advanced(this->revision);
     }
 }
 
--- a/src/directory/store_watcher.hpp
+++ b/src/directory/store_watcher.hpp
@@ -21,6 +21,8 @@
     //! began.
     std::function<void(const std::vector<std::string>&, std::uint64_t)>
         on_snapshot;
+    //! All changes up to a revision have been given.
+    std::function<void(std::uint64_t revision)> on_advanced;
     std::function<void(const store_error&)> on_lost;
     //! The store answers again; \p silent since the last answer.
     std::function<void(base::duration_ms silent)> on_regained;
@@ -39,6 +41,12 @@
     //! Starts the next read if it is due.
     void tick(base::time_ms now, base::duration_ms wait);
 
+    //! Leaves the present wait and starts no other one until resume().
+    void pause();
+    //! Goes on after \p revision, up to which the owner knows all changes.
+    void resume(std::uint64_t revision);
+    bool is_paused() const;
+
     //! Reads all items again, for example after this process stood still.
     void restart();
 
@@ -59,6 +67,7 @@
     std::unique_ptr<store_client> client;
     watcher_events events;
     std::mt19937_64 random;
+    bool paused{false};
     bool reading{false};
     std::uint64_t generation{0};
     bool snapshot_due{true};
--- a/src/directory/tests/fleet_view_test.cpp
+++ b/src/directory/tests/fleet_view_test.cpp
@@ -62,6 +62,10 @@
     CHECK(view.merge(item("t/1", "s", 5), {0}).services.empty());
     REQUIRE(view.targets("s").size() == 1);
     CHECK(view.targets("s")[0].phase == target_phase::draining);
+    //! Single items do not tell whether others are missing.
+    CHECK(view.revision() == 0);
+    view.advance(7);
+    view.advance(5);
     CHECK(view.revision() == 7);
 }
 
@@ -131,6 +135,7 @@
     view.end_snapshot({"t/1"}, 20, {0});
     //! The third was written after the read began.
     CHECK(view.targets("s").size() == 2);
+    CHECK(view.revision() == 20);
 }
 
 TEST_CASE("a peer gets the items that it lacks, removals too")
@@ -145,6 +150,8 @@
     {
         peer.merge(missing, {0});
     }
+    view.advance(4);
+    peer.advance(view.revision());
     CHECK(peer.revision() == 4);
     CHECK(peer.targets("s") == view.targets("s"));
     CHECK(view.items_after(3).size() == 1);
--- a/src/directory/tests/store_watcher_test.cpp
+++ b/src/directory/tests/store_watcher_test.cpp
@@ -48,6 +48,7 @@
     std::vector<std::string> items;
     std::vector<std::string> snapshot;
     std::uint64_t snapshot_revision{0};
+    std::uint64_t advanced{0};
     int lost{0};
     int regained{0};
     store_watcher watcher{
@@ -58,6 +59,7 @@
              this->snapshot = keys;
              this->snapshot_revision = revision;
          },
+         [this](std::uint64_t revision) { this->advanced = revision; },
          [this](const auto&) { ++this->lost; },
          [this](base::duration_ms) { ++this->regained; }},
         1};
@@ -74,6 +76,30 @@
 }
 } // namespace
 
+TEST_CASE("a paused watcher leaves its wait, and goes on where its owner is")
+{
+    fixture f;
+    f.watcher.tick({0}, {1000});
+    f.calls[0].done(store_page{{}, false, 7});
+    f.watcher.tick({1}, {1000});
+    REQUIRE(f.calls.size() == 2);
+    f.watcher.pause();
+    f.watcher.tick({2}, {1000});
+    CHECK(f.calls.size() == 2);
+    //! What the wait that was left still brings is not taken.
+    f.calls[1].done(store_page{{{"late", "x", 8, false}}, false, 8});
+    CHECK(f.items.empty());
+    CHECK(f.advanced == 0);
+    f.watcher.resume(20);
+    f.watcher.tick({3}, {1000});
+    REQUIRE(f.calls.size() == 3);
+    CHECK(f.calls[2].watch);
+    CHECK(f.calls[2].revision == 20);
+    f.calls[2].done(store_page{{{"t/1", "x", 21, false}}, false, 22});
+    CHECK(f.items == std::vector<std::string>{"t/1"});
+    CHECK(f.advanced == 22);
+}
+
 TEST_CASE("all pages are read, then changes since the first page are awaited")
 {
     fixture test;
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -15,7 +15,14 @@
 constexpr base::duration_ms settle_time{300};
 //! A watch that told nothing for so long of what peers know is left.
 constexpr base::duration_ms watch_lost{600};
-constexpr base::duration_ms shortest_watch{10000};
+constexpr base::duration_ms shortest_watch{5000};
+//! Watching nodes tell of themselves at least this often.
+constexpr base::duration_ms telling_interval{400};
+//! A node that hears of no watching node for so long watches by itself; with
+//! its first answer well within the two seconds of a change's bound.
+constexpr base::duration_ms telling_lost{900};
+//! A peer that was asked has answered by then, or will not.
+constexpr base::duration_ms asking_time{100};
 constexpr base::duration_ms longest_watch{30000};
 //! Share of the store's rate that waiting watches may take.
 constexpr std::uint64_t watch_share = 4;
@@ -68,6 +75,11 @@
                  " items=" + std::to_string(keys.size())});
         this->apply(change);
     };
+    events.on_advanced = [this](std::uint64_t revision)
+    {
+        this->state.with([&](follow_state& state)
+                         { state.view.advance(revision); });
+    };
     events.on_lost = [this](const directory::store_error& error)
     {
         this->tables.note(
@@ -115,14 +127,15 @@
             {
                 state.behind_since = now;
             }
+            if (digest.watching)
+            {
+                state.heard_watching = now;
+            }
         });
     const transport::peer_address peer{digest.host, digest.port};
     if (digest.revision > own)
     {
-        const auto link = this->network->link_to(peer);
-        this->network->send(
-            link, transport::frame_kind::item_query,
-            transport::encode(schema::item_query{own}), 0);
+        this->ask_peer(peer, digest.revision);
         return;
     }
     //! A peer that is behind for longer than its own watch needs is told.
@@ -132,6 +145,30 @@
     }
 }
 
+void directory_follower::ask_peer(
+    const transport::peer_address& peer, std::uint64_t revision)
+{
+    const auto now = base::now();
+    const auto after = this->state.with(
+        [&](follow_state& state) -> std::optional<std::uint64_t>
+        {
+            if (state.asked_for >= revision &&
+                now - state.asked_at < asking_time)
+            {
+                return std::nullopt;
+            }
+            state.asked_for = revision;
+            state.asked_at = now;
+            return state.view.revision();
+        });
+    if (after)
+    {
+        this->network->send(
+            this->network->link_to(peer), transport::frame_kind::item_query,
+            transport::encode(schema::item_query{*after}), 0);
+    }
+}
+
 void directory_follower::on_query(
     transport::link_id link, const schema::item_query& query)
 {
@@ -154,6 +191,9 @@
     {
         this->on_item(item);
     }
+    //! The list begins at a revision that this node had told.
+    this->state.with([&](follow_state& state)
+                     { state.view.advance(list.revision); });
     if (list.revision > before && !list.items.empty())
     {
         this->tables.note(
@@ -187,7 +227,7 @@
 void directory_follower::send_digest(base::time_ms now)
 {
     const auto& own = this->tables.settings.node;
-    schema::directory_digest digest{own.address, own.node_port, 0};
+    schema::directory_digest digest{own.address, own.node_port, 0, false};
     const auto peer = this->state.with(
         [&](follow_state& state) -> std::optional<transport::peer_address>
         {
@@ -207,6 +247,70 @@
     }
 }
 
+void directory_follower::tell_others(base::time_ms now)
+{
+    const auto& own = this->tables.settings.node;
+    schema::directory_digest digest{own.address, own.node_port, 0, true};
+    const auto hosts = this->state.with(
+        [&](follow_state& state) -> std::vector<std::string>
+        {
+            digest.revision = state.view.revision();
+            const bool due =
+                now >= state.next_telling || digest.revision != state.told;
+            if (!state.role.watches || state.watcher->is_lost() ||
+                this->tables.draining || !due)
+            {
+                return {};
+            }
+            state.next_telling = now + telling_interval;
+            state.told = digest.revision;
+            return state.role.tells;
+        });
+    const auto body = transport::encode(digest);
+    for (const auto& host : hosts)
+    {
+        this->network->send_datagram(
+            {host, own.node_port}, transport::frame_kind::directory_digest,
+            body);
+    }
+}
+
+void directory_follower::update_role()
+{
+    std::vector<decisions::fleet_member> members;
+    const auto role = this->state.with(
+        [&](follow_state& state)
+        {
+            for (const auto& target : state.view.all_targets())
+            {
+                members.push_back({target.host, target.zone});
+            }
+            return state.role = decisions::choose_watch_role(
+                       this->tables.settings.node.address, std::move(members));
+        });
+    this->tables.note(
+        {0, "watch_role", 0, 0, "",
+         std::string("watches=") + (role.watches ? "1" : "0") +
+             " tells=" + std::to_string(role.tells.size())});
+}
+
+void directory_follower::update_watch(
+    follow_state& state, base::time_ms now) const
+{
+    const bool known = state.view.revision() > 0 && !state.watcher->is_lost();
+    const bool told = now - state.heard_watching < telling_lost;
+    const bool needed = state.role.watches || !known || !told;
+    if (needed && state.watcher->is_paused())
+    {
+        state.watcher->resume(state.view.revision());
+    }
+    if (!needed && !state.watcher->is_paused())
+    {
+        state.watcher->pause();
+        state.behind_since.reset();
+    }
+}
+
 void directory_follower::check_progress(base::time_ms now)
 {
     bool restarted = false;
@@ -227,7 +331,7 @@
                 state.behind_since.reset();
             }
             if (state.behind_since && now - *state.behind_since >= watch_lost &&
-                !state.watcher->is_lost())
+                !state.watcher->is_lost() && !state.watcher->is_paused())
             {
                 state.behind_since.reset();
                 state.watcher->restart();
@@ -250,6 +354,10 @@
     {
         this->apply_targets(service);
     }
+    if (!change.services.empty())
+    {
+        this->update_role();
+    }
     if (change.configuration || !change.services.empty())
     {
         this->apply_own_policy();
@@ -379,6 +487,7 @@
         [&](follow_state& state)
         {
             const auto nodes = state.view.target_count();
+            this->update_watch(state, now);
             state.watcher->tick(now, this->watch_wait(nodes));
             return state.view.tick(now);
         });
@@ -387,13 +496,21 @@
     {
         this->apply_retry_limits();
     }
+    this->tell_others(now);
     this->send_digest(now);
     this->check_progress(now);
 }
 
 void directory_follower::on_woke()
 {
-    this->state.with([](follow_state& state) { state.watcher->restart(); });
+    this->state.with(
+        [](follow_state& state)
+        {
+            //! What watching nodes said before is old, too.
+            state.heard_watching = {INT64_MIN / 2};
+            state.watcher->resume(state.view.revision());
+            state.watcher->restart();
+        });
 }
 
 bool directory_follower::is_ready()
--- a/src/node/internal/directory_follower.hpp
+++ b/src/node/internal/directory_follower.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/guarded.hpp"
+#include "decisions/watch_group.hpp"
 #include "directory/fleet_view.hpp"
 #include "directory/store_watcher.hpp"
 #include "node/internal/node_tables.hpp"
@@ -53,10 +54,24 @@
         base::time_ms advanced{INT64_MIN / 2};
         std::uint64_t advanced_to{0};
         //! Peers knew more than the store's watch told since then.
-        std::optional<base::time_ms> behind_since;
+        std::optional<base::time_ms> behind_since{};
+        decisions::watch_role role{true, {}};
+        //! When a watching node told of itself last.
+        base::time_ms heard_watching{INT64_MIN / 2};
+        //! What peers were asked for last.
+        std::uint64_t asked_for{0};
+        base::time_ms asked_at{INT64_MIN / 2};
+        base::time_ms next_telling{INT64_MIN / 2};
+        std::uint64_t told{0};
     };
 
     void send_digest(base::time_ms now);
+    //! As a watching node, tells the others what is known.
+    void tell_others(base::time_ms now);
+    void update_role();
+    //! Watches the store only where no other node does it for this one.
+    void update_watch(follow_state& state, base::time_ms now) const;
+    void ask_peer(const transport::peer_address& peer, std::uint64_t revision);
     void check_progress(base::time_ms now);
     std::optional<transport::peer_address> pick_peer(follow_state& state) const;
 
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -292,15 +292,17 @@
     std::string host{};
     //! Sender's node port.
     std::uint32_t port{0};
-    //! Highest revision of the store that the sender knows.
+    //! Revision up to which the sender knows the store completely.
     std::uint64_t revision{0};
+    //! The sender waits at the store and hears from it.
+    bool watching{false};
 
     bool operator==(const directory_digest&) const = default;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(this->host, this->port, this->revision);
+        archive(this->host, this->port, this->revision, this->watching);
     }
 };
 //! Asks a node for items of the store.
