--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -16,13 +16,6 @@
 //! Attempts at each hop under the baseline policies.
 constexpr std::uint32_t baseline_attempts = 4;
 
-bool has_attempt_left(const origin_call& call)
-{
-    return call.latency_group.empty()
-               ? call.budget.left() > 0
-               : call.history.arrivals + 1 < call.limits.max_attempts;
-}
-
 //! Latency as a percentage of the usual one of the request's group, so that
 //! targets that got long requests do not look slow. Milliseconds where groups
 //! are not told apart.
@@ -39,12 +32,6 @@
     return {static_cast<std::int64_t>(
         std::lround(percent * static_cast<double>(latency.count) / usual))};
 }
-
-//! Without published routes, all requests of a service are one group.
-const std::string& latency_group(const origin_call& call)
-{
-    return call.latency_group.empty() ? call.call.service : call.latency_group;
-}
 } // namespace
 
 std::optional<decisions::target_address>
@@ -140,26 +127,6 @@
     return target.host == own.address && target.port == own.node_port;
 }
 
-void caller_side::plan_reroute(origin_table& table, const origin_call& call)
-{
-    const bool possible = call.call.repeatable && !call.call.long_work &&
-                          call.route == route_kind::balanced &&
-                          call.dispatches == 1 && has_attempt_left(call) &&
-                          !this->tables.draining &&
-                          decisions::is_full(this->tables.variant);
-    if (!possible)
-    {
-        return;
-    }
-    const auto delay = this->tables.routing.with(
-        [&](routing_table& routing)
-        { return routing.delays[latency_group(call)].delay(); });
-    if (delay)
-    {
-        table.by_reroute.emplace(call.dispatched + *delay, call.attempt);
-    }
-}
-
 void caller_side::refuse_dispatch(std::uint64_t id, schema::refusal reason)
 {
     schema::answer answer;
@@ -275,100 +242,6 @@
     this->on_attempt_end(attempt, {std::move(answer), true});
 }
 
-void caller_side::note_node(const transport::peer_address& peer, bool lost)
-{
-    if (peer.host.empty())
-    {
-        return;
-    }
-    this->tables.routing.with(
-        [&](routing_table& table)
-        {
-            for (auto& [service, targets] : table.services)
-            {
-                if (lost)
-                {
-                    targets.on_node_lost(peer.host, peer.port);
-                }
-                else
-                {
-                    targets.on_node_heard(peer.host, peer.port);
-                }
-            }
-        });
-}
-
-void caller_side::on_link_silent(
-    transport::link_id link, const transport::peer_address& peer, bool silent)
-{
-    this->note_node(peer, silent);
-    const auto waiting = this->origins.with(
-        [&](origin_table& table)
-        {
-            const auto found = table.by_link.find(link);
-            return found == table.by_link.end() ? std::set<std::uint64_t>{}
-                                                : found->second;
-        });
-    this->tables.note(
-        {0, silent ? "peer_silent" : "peer_heard", 0, 0, "",
-         "peer=" + peer.host + " waiting=" + std::to_string(waiting.size())});
-    if (!silent || !this->tables.names || this->tables.draining)
-    {
-        return;
-    }
-    for (const auto attempt : waiting)
-    {
-        this->hedge(attempt, true);
-    }
-}
-
-void caller_side::restore_links()
-{
-    std::vector<decisions::target_address> lost;
-    this->tables.routing.with(
-        [&](routing_table& table)
-        {
-            for (const auto& [service, targets] : table.services)
-            {
-                const auto some = targets.lost_nodes();
-                lost.insert(lost.end(), some.begin(), some.end());
-            }
-        });
-    for (const auto& target : lost)
-    {
-        this->network->link_to({target.host, target.port});
-    }
-}
-
-void caller_side::on_link_down(
-    transport::link_id link, const transport::link_loss& loss)
-{
-    this->note_node(loss.peer, true);
-    std::vector<std::uint64_t> lost;
-    this->origins.with(
-        [&](origin_table& table)
-        {
-            const auto found = table.by_link.find(link);
-            if (found != table.by_link.end())
-            {
-                lost.assign(found->second.begin(), found->second.end());
-            }
-        });
-    for (const auto attempt : lost)
-    {
-        const bool unsent =
-            !loss.established ||
-            std::find(
-                loss.unsent_calls.begin(), loss.unsent_calls.end(), attempt) !=
-                loss.unsent_calls.end();
-        const auto answer =
-            unsent
-                ? make_refusal(verdict::not_run, refusal::unreachable)
-                : make_refusal(verdict::may_have_run, refusal::connection_lost);
-        this->on_attempt_end(attempt, {answer, false});
-    }
-}
-
 void caller_side::report_result(
     const origin_call& call, const attempt_state& state, const attempt_end& end)
 {
@@ -554,144 +427,4 @@
     this->complete(id, std::move(end.answer));
 }
 
-bool caller_side::settle_hedge(
-    origin_table& table, origin_call& call, std::uint64_t attempt,
-    const attempt_end& end, attempt_state& superfluous)
-{
-    const bool good = verdict_of(end.answer) == verdict::ran &&
-                      end.answer.status < first_server_error;
-    const bool first_ended = attempt == call.earlier->attempt;
-    const auto ended = first_ended ? *call.earlier : call.present();
-    const auto other = first_ended ? call.present() : *call.earlier;
-    if (good)
-    {
-        superfluous = other;
-        this->report_result(
-            call, other,
-            {make_refusal(verdict::may_have_run, refusal::cancelled), false,
-             true});
-    }
-    if (first_ended)
-    {
-        table.end_earlier(call);
-        if (good)
-        {
-            table.end_attempt(call);
-            call.make_present(ended);
-        }
-    }
-    else
-    {
-        table.attempts.erase(good ? other.attempt : ended.attempt);
-        const auto gone = good ? other : ended;
-        const auto waiting = table.by_link.find(gone.link);
-        if (waiting != table.by_link.end())
-        {
-            waiting->second.erase(gone.attempt);
-        }
-        call.make_present(good ? ended : other);
-        call.earlier.reset();
-    }
-    if (good)
-    {
-        return false;
-    }
-    this->report_result(call, ended, end);
-    return true;
-}
-
-bool caller_side::return_to_earlier(origin_call& call)
-{
-    if (!call.earlier)
-    {
-        return false;
-    }
-    call.make_present(*call.earlier);
-    call.earlier.reset();
-    return true;
-}
-
-void caller_side::hedge(std::uint64_t attempt, bool any_target)
-{
-    std::uint64_t id = 0;
-    this->origins.with(
-        [&](origin_table& table)
-        {
-            const auto found = table.attempts.find(attempt);
-            if (found == table.attempts.end())
-            {
-                return;
-            }
-            auto& call = table.calls.at(found->second);
-            const bool allowed =
-                !call.earlier && call.attempt == attempt &&
-                call.call.repeatable && has_attempt_left(call) &&
-                (any_target || this->has_spare_target(call)) &&
-                this->tables.routing.with(
-                    [&](routing_table& routing) {
-                        return routing.fleet_retries.allow_retry(
-                            call.call.service, base::now());
-                    });
-            if (!allowed)
-            {
-                return;
-            }
-            id = found->second;
-            call.earlier = call.present();
-            call.attempt = 0;
-            call.local_serving = 0;
-            call.earlier_may_have_run = true;
-            call.call.rerun = true;
-            ++call.history.arrivals;
-        });
-    if (id != 0)
-    {
-        this->tables.note({0, "hedge", 0, id, "", ""});
-        this->dispatch(id);
-    }
-}
-
-void caller_side::reroute_slow(base::time_ms now)
-{
-    std::vector<origin_call> slow;
-    this->origins.with(
-        [&](origin_table& table)
-        {
-            auto& index = table.by_reroute;
-            while (!index.empty() && index.begin()->first <= now)
-            {
-                const auto found = table.attempts.find(index.begin()->second);
-                if (found != table.attempts.end())
-                {
-                    slow.push_back(table.calls.at(found->second));
-                }
-                index.erase(index.begin());
-            }
-        });
-    for (const auto& call : slow)
-    {
-        if (this->tables.draining)
-        {
-            continue;
-        }
-        if (this->tables.names)
-        {
-            this->hedge(call.attempt, false);
-            continue;
-        }
-        const bool allowed = this->tables.routing.with(
-            [&](routing_table& table)
-            { return table.retries.tokens(call.call.service) >= 1; });
-        if (!allowed)
-        {
-            continue;
-        }
-        this->tables.note({0, "reroute", call.call.root, call.id, "", ""});
-        this->stop_attempts(call);
-        this->on_attempt_end(
-            call.attempt,
-            {make_refusal(verdict::may_have_run, refusal::timeout), false,
-             true});
-    }
-}
 } // namespace bilberrytally::node
--- /dev/null
+++ b/src/node/internal/caller_side_links.cpp
@@ -0,0 +1,104 @@
+#include "node/internal/caller_side.hpp"
+
+#include <algorithm>
+
+//! The parts of caller_side that follow the connections to other nodes.
+namespace bilberrytally::node
+{
+using base::verdict;
+using schema::refusal;
+
+void caller_side::note_node(const transport::peer_address& peer, bool lost)
+{
+    if (peer.host.empty())
+    {
+        return;
+    }
+    this->tables.routing.with(
+        [&](routing_table& table)
+        {
+            for (auto& [service, targets] : table.services)
+            {
+                if (lost)
+                {
+                    targets.on_node_lost(peer.host, peer.port);
+                }
+                else
+                {
+                    targets.on_node_heard(peer.host, peer.port);
+                }
+            }
+        });
+}
+
+void caller_side::on_link_silent(
+    transport::link_id link, const transport::peer_address& peer, bool silent)
+{
+    this->note_node(peer, silent);
+    const auto waiting = this->origins.with(
+        [&](origin_table& table)
+        {
+            const auto found = table.by_link.find(link);
+            return found == table.by_link.end() ? std::set<std::uint64_t>{}
+                                                : found->second;
+        });
+    this->tables.note(
+        {0, silent ? "peer_silent" : "peer_heard", 0, 0, "",
+         "peer=" + peer.host + " waiting=" + std::to_string(waiting.size())});
+    if (!silent || !this->tables.names || this->tables.draining)
+    {
+        return;
+    }
+    for (const auto attempt : waiting)
+    {
+        this->hedge(attempt, true);
+    }
+}
+
+void caller_side::restore_links()
+{
+    std::vector<decisions::target_address> lost;
+    this->tables.routing.with(
+        [&](routing_table& table)
+        {
+            for (const auto& [service, targets] : table.services)
+            {
+                const auto some = targets.lost_nodes();
+                lost.insert(lost.end(), some.begin(), some.end());
+            }
+        });
+    for (const auto& target : lost)
+    {
+        this->network->link_to({target.host, target.port});
+    }
+}
+
+void caller_side::on_link_down(
+    transport::link_id link, const transport::link_loss& loss)
+{
+    this->note_node(loss.peer, true);
+    std::vector<std::uint64_t> lost;
+    this->origins.with(
+        [&](origin_table& table)
+        {
+            const auto found = table.by_link.find(link);
+            if (found != table.by_link.end())
+            {
+                lost.assign(found->second.begin(), found->second.end());
+            }
+        });
+    for (const auto attempt : lost)
+    {
+        const bool unsent =
+            !loss.established ||
+            std::find(
+                loss.unsent_calls.begin(), loss.unsent_calls.end(), attempt) !=
+                loss.unsent_calls.end();
+        const auto answer =
+            unsent
+                ? make_refusal(verdict::not_run, refusal::unreachable)
+                : make_refusal(verdict::may_have_run, refusal::connection_lost);
+        this->on_attempt_end(attempt, {answer, false});
+    }
+}
+} // namespace bilberrytally::node
--- a/src/node/internal/origin_call.cpp
+++ b/src/node/internal/origin_call.cpp
@@ -104,6 +104,19 @@
     call.attempt = 0;
     call.local_serving = 0;
 }
+
+bool has_attempt_left(const origin_call& call)
+{
+    return call.latency_group.empty()
+               ? call.budget.left() > 0
+               : call.history.arrivals + 1 < call.limits.max_attempts;
+}
+
+const std::string& latency_group(const origin_call& call)
+{
+    return call.latency_group.empty() ? call.call.service : call.latency_group;
+}
+
 base::verdict verdict_of(const schema::answer& answer)
 {
     return static_cast<base::verdict>(answer.verdict);
--- a/src/node/internal/origin_call.hpp
+++ b/src/node/internal/origin_call.hpp
@@ -119,6 +119,14 @@
     //! Ends the earlier attempt of a call.
     void end_earlier(origin_call& call);
 };
+
+//! The call may be sent once more by its limits.
+bool has_attempt_left(const origin_call& call);
+
+//! Name of the requests whose latencies are learned together: all of a service
+//! where no routes are published.
+const std::string& latency_group(const origin_call& call);
+
 //! Verdict of an answer as its type.
 base::verdict verdict_of(const schema::answer& answer);
 
