Gather changes of the store, longer where a node watches for itself alone

Change: after an answer with changes the next wait begins 150 ms later on an assigned watching node, 800 ms later on a node that watches for itself alone. Pauses and resumptions of a watch are logged. Tests: store_watcher_test, watch_group_test.

--- a/src/decisions/internal/watch_group.cpp
+++ b/src/decisions/internal/watch_group.cpp
@@ -79,8 +79,9 @@
     }
     watch_role role;
     //! A node that is not listed yet looks after itself.
-    role.watches = own.empty() || contains(watching, self);
-    if (role.watches)
+    role.assigned = contains(watching, self);
+    role.watches = own.empty() || role.assigned;
+    if (role.assigned)
     {
         add(role.tells, own, self);
         add(role.tells, watching, self);
--- a/src/decisions/tests/watch_group_test.cpp
+++ b/src/decisions/tests/watch_group_test.cpp
@@ -88,6 +88,11 @@
 
 TEST_CASE("a node that is not listed watches by itself")
 {
-    CHECK(choose_watch_role("10.9.9.9", make_fleet(40, 3)).watches);
-    CHECK(choose_watch_role("10.9.9.9", {}).watches);
+    for (const auto& fleet : {make_fleet(40, 3), make_fleet(0, 1)})
+    {
+        const auto role = choose_watch_role("10.9.9.9", fleet);
+        CHECK(role.watches);
+        CHECK_FALSE(role.assigned);
+        CHECK(role.tells.empty());
+    }
 }
--- a/src/decisions/watch_group.hpp
+++ b/src/decisions/watch_group.hpp
@@ -21,6 +21,8 @@
 {
     //! This node waits at the store for changes.
     bool watches{false};
+    //! It watches for others, not just since it is not listed.
+    bool assigned{false};
     //! Nodes that it tells of changes; none where it does not watch.
     std::vector<std::string> tells;
 
--- a/src/directory/internal/store_watcher.cpp
+++ b/src/directory/internal/store_watcher.cpp
@@ -73,6 +73,11 @@
     };
 }
 
+void store_watcher::set_gather_time(base::duration_ms span)
+{
+    this->gather_time = span;
+}
+
 void store_watcher::pause()
 {
     ++this->generation;
@@ -154,6 +159,10 @@
         return;
     }
     this->on_success(base::now());
+    if (!changes->items.empty())
+    {
+        this->next_read = base::now() + this->gather_time;
+    }
     for (const auto& item : changes->items)
     {
         this->events.on_item(item);
--- a/src/directory/store_watcher.hpp
+++ b/src/directory/store_watcher.hpp
@@ -41,6 +41,9 @@
     //! Starts the next read if it is due.
     void tick(base::time_ms now, base::duration_ms wait);
 
+    //! Changes that follow one within \p span come with one answer.
+    void set_gather_time(base::duration_ms span);
+
     //! Leaves the present wait and starts no other one until resume().
     void pause();
     //! Goes on after \p revision, up to which the owner knows all changes.
@@ -67,6 +70,7 @@
     std::unique_ptr<store_client> client;
     watcher_events events;
     std::mt19937_64 random;
+    base::duration_ms gather_time{0};
     bool paused{false};
     bool reading{false};
     std::uint64_t generation{0};
--- a/src/directory/tests/store_watcher_test.cpp
+++ b/src/directory/tests/store_watcher_test.cpp
@@ -76,6 +76,28 @@
 }
 } // namespace
 
+TEST_CASE("changes in quick succession are gathered")
+{
+    fixture f;
+    const auto start = base::now();
+    f.watcher.set_gather_time({150});
+    f.watcher.tick(start, {1000});
+    f.calls[0].done(store_page{{}, false, 7});
+    f.watcher.tick(start, {1000});
+    REQUIRE(f.calls.size() == 2);
+    f.calls[1].done(store_page{{{"t/1", "x", 8, false}}, false, 8});
+    CHECK(f.items.size() == 1);
+    f.watcher.tick(base::now() + base::duration_ms{50}, {1000});
+    CHECK(f.calls.size() == 2);
+    f.watcher.tick(base::now() + base::duration_ms{200}, {1000});
+    REQUIRE(f.calls.size() == 3);
+    CHECK(f.calls[2].revision == 8);
+    //! An answer without changes is followed at once.
+    f.calls[2].done(store_page{{}, false, 8});
+    f.watcher.tick(base::now() + base::duration_ms{200}, {1000});
+    CHECK(f.calls.size() == 4);
+}
+
 TEST_CASE("a paused watcher leaves its wait, and goes on where its owner is")
 {
     fixture f;
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -23,6 +23,12 @@
 constexpr base::duration_ms telling_lost{900};
 //! A peer that was asked has answered by then, or will not.
 constexpr base::duration_ms asking_time{100};
+//! Changes in quick succession are gathered: small beside the two seconds in
+//! which a change is to be in force.
+constexpr base::duration_ms gather_time{150};
+//! The same for a node that watches for itself alone, as all do while a fleet
+//! starts and its targets are listed one after the other.
+constexpr base::duration_ms lone_gather_time{800};
 constexpr base::duration_ms longest_watch{30000};
 //! Share of the store's rate that waiting watches may take.
 constexpr std::uint64_t watch_share = 4;
@@ -257,7 +263,7 @@
             digest.revision = state.view.revision();
             const bool due =
                 now >= state.next_telling || digest.revision != state.told;
-            if (!state.role.watches || state.watcher->is_lost() ||
+            if (!state.role.assigned || state.watcher->is_lost() ||
                 this->tables.draining || !due)
             {
                 return {};
@@ -300,14 +306,23 @@
     const bool known = state.view.revision() > 0 && !state.watcher->is_lost();
     const bool told = now - state.heard_watching < telling_lost;
     const bool needed = state.role.watches || !known || !told;
+    state.watcher->set_gather_time(
+        state.role.assigned ? gather_time : lone_gather_time);
     if (needed && state.watcher->is_paused())
     {
         state.watcher->resume(state.view.revision());
+        this->tables.note(
+            {0, "watch_resumed", 0, 0, "",
+             "silent_ms=" + std::to_string((now - state.heard_watching).count) +
+                 " revision=" + std::to_string(state.view.revision())});
     }
     if (!needed && !state.watcher->is_paused())
     {
         state.watcher->pause();
         state.behind_since.reset();
+        this->tables.note(
+            {0, "watch_paused", 0, 0, "",
+             "revision=" + std::to_string(state.view.revision())});
     }
 }
 
--- a/src/node/internal/directory_follower.hpp
+++ b/src/node/internal/directory_follower.hpp
@@ -55,7 +55,7 @@
         std::uint64_t advanced_to{0};
         //! Peers knew more than the store's watch told since then.
         std::optional<base::time_ms> behind_since{};
-        decisions::watch_role role{true, {}};
+        decisions::watch_role role{true, false, {}};
         //! When a watching node told of itself last.
         base::time_ms heard_watching{INT64_MIN / 2};
         //! What peers were asked for last.
