Ask the last target again where no other one is left

The list of tried targets was cleared only where leaving ones were tried, too. Change: a retry after an attempt that reached a target falls back to the tried ones; hedges do not. Test: users_platform_processes, a lost answer where one target is left: 502 before, 200 after; what must not run twice still ends with 502 after one run.

--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -57,6 +57,12 @@
                 return;
             }
             target = targets.choose(call.tried, table.random, now);
+            //! A target that lost one answer is better than none.
+            const bool retried = call.history.arrivals > 0 && !call.earlier;
+            if (!target && retried)
+            {
+                target = targets.choose({}, table.random, now);
+            }
             if (target)
             {
                 targets.on_dispatch(target->instance, now);
