Ask the last target again only where its answer was lost

A full target that has just refused a call is not asked again at once: that spends the budget on what the others need. Of the change before, only retries after an attempt that may have run remain.

--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -58,8 +58,8 @@
             }
             target = targets.choose(call.tried, table.random, now);
             //! A target that lost one answer is better than none.
-            const bool retried = call.history.arrivals > 0 && !call.earlier;
-            if (!target && retried)
+            const bool lost = call.earlier_may_have_run && !call.earlier;
+            if (!target && lost)
             {
                 target = targets.choose({}, table.random, now);
             }
