--- /dev/null
+++ b/src/decisions/internal/target_choice.cpp
@@ -0,0 +1,323 @@
+#include "decisions/target_table.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <limits>
+
+//! The parts of target_table that choose among targets and leave slow ones.
+namespace bilberrytally::decisions
+{
+namespace
+{
+constexpr std::size_t subset_size = 12;
+constexpr base::duration_ms cold_start{10000};
+constexpr double cold_lowest_share = 0.1;
+constexpr base::duration_ms probe_first{500};
+constexpr base::duration_ms probe_longest{4000};
+constexpr unsigned floor_probe_one_in = 10;
+constexpr double slow_ratio = 3.0;
+constexpr double slow_minimum_ms = 5.0;
+constexpr std::uint64_t slow_min_samples = 10;
+constexpr std::uint32_t failure_threshold = 3;
+constexpr std::size_t ejected_share = 3;
+constexpr double saturation = 1.5;
+//! The own zone is left where its best target costs more than this many
+//! times the best of all.
+constexpr double zone_preference = 3.0;
+constexpr base::duration_ms report_lifetime{2000};
+//! A target with more of its slots in use gets no second attempts of slow
+//! calls.
+constexpr double spare_share = 0.6;
+} // namespace
+
+std::optional<target_address> target_table::choose(
+    const std::set<std::string>& excluded, std::mt19937_64& random,
+    base::time_ms now)
+{
+    if (!is_full(this->variant))
+    {
+        return this->next_in_turn(excluded);
+    }
+    if (auto* probed = this->probe_due(excluded, now))
+    {
+        probed->last_probe = now;
+        return probed->address;
+    }
+    auto pool = this->candidates(excluded, now);
+    if (pool.empty())
+    {
+        return std::nullopt;
+    }
+    return this->better_of_two(pool, random, now)->address;
+}
+
+std::optional<target_address>
+target_table::next_in_turn(const std::set<std::string>& excluded)
+{
+    std::vector<target_address> pool;
+    for (const auto& [id, candidate] : this->targets)
+    {
+        if (!candidate.listed_leaving && excluded.count(id) == 0)
+        {
+            pool.push_back(candidate.address);
+        }
+    }
+    return pool.empty() ? std::nullopt
+                        : std::optional(pool[this->turn++ % pool.size()]);
+}
+
+bool target_table::floor_refuses(
+    std::uint32_t priority, std::mt19937_64& random, base::time_ms now) const
+{
+    bool any = false;
+    for (const auto& id : this->subset)
+    {
+        const auto& candidate = this->targets.at(id);
+        if (this->state_of(candidate, now) != target_state::available)
+        {
+            continue;
+        }
+        any = true;
+        if (candidate.floor_until <= now || candidate.floor >= priority)
+        {
+            return false;
+        }
+    }
+    return any && random() % floor_probe_one_in != 0;
+}
+
+bool target_table::has_spare_target(
+    const std::set<std::string>& excluded, base::time_ms now) const
+{
+    return std::any_of(
+        this->subset.begin(), this->subset.end(),
+        [&](const auto& id)
+        {
+            const auto& candidate = this->targets.at(id);
+            const bool fresh = now - candidate.reported_at < report_lifetime;
+            const auto used = static_cast<double>(candidate.reported_in_flight);
+            //! A target that was not asked for long is taken to have room.
+            const bool spare =
+                !fresh || used < spare_share * candidate.reported_limit;
+            return excluded.count(id) == 0 && spare &&
+                   this->state_of(candidate, now) == target_state::available;
+        });
+}
+
+double target_table::cost(const target& candidate, base::time_ms now) const
+{
+    const double own = candidate.in_flight;
+    const double others = candidate.reported_in_flight;
+    const double limit = std::max(candidate.reported_limit, 1U);
+    const double load = 1 + own + others / limit;
+    //! A long silence tells of a slow target before its answers do.
+    const auto silence = candidate.in_flight == 0
+                             ? base::duration_ms{0}
+                             : now - candidate.silent_since;
+    const double latency = std::max(
+        {candidate.latency_ms, static_cast<double>(silence.count), 1.0});
+    double share = 1;
+    if (candidate.new_comer)
+    {
+        const auto age =
+            static_cast<double>((now - candidate.first_seen).count);
+        share = std::clamp(
+            age / static_cast<double>(cold_start.count), cold_lowest_share,
+            1.0);
+    }
+    return load * latency / share;
+}
+
+bool target_table::is_saturated(
+    const target& candidate, base::time_ms now) const
+{
+    if (candidate.floor_until > now)
+    {
+        return true;
+    }
+    return candidate.reported_limit > 0 &&
+           candidate.reported_in_flight > saturation * candidate.reported_limit;
+}
+
+std::vector<target_table::target*> target_table::candidates(
+    const std::set<std::string>& excluded, base::time_ms now)
+{
+    std::vector<target*> local;
+    std::vector<target*> all;
+    bool local_room = false;
+    for (const auto& id : this->subset)
+    {
+        auto& candidate = this->targets.at(id);
+        const auto state = this->state_of(candidate, now);
+        //! A slow target is better than a crowded one.
+        const bool usable = state == target_state::available ||
+                            (state == target_state::ejected &&
+                             !this->others_have_room(candidate, now));
+        if (!usable || excluded.count(id) != 0)
+        {
+            continue;
+        }
+        all.push_back(&candidate);
+        if (candidate.zone == this->zone)
+        {
+            local.push_back(&candidate);
+            local_room |= !this->is_saturated(candidate, now);
+        }
+    }
+    const bool stay =
+        local_room && this->lowest_cost(local, now) <=
+                          zone_preference * this->lowest_cost(all, now);
+    return stay ? local : all;
+}
+
+double target_table::lowest_cost(
+    const std::vector<target*>& pool, base::time_ms now) const
+{
+    double lowest = std::numeric_limits<double>::max();
+    for (const auto* candidate : pool)
+    {
+        lowest = std::min(lowest, this->cost(*candidate, now));
+    }
+    return lowest;
+}
+
+bool target_table::others_have_room(
+    const target& except, base::time_ms now) const
+{
+    return std::any_of(
+        this->subset.begin(), this->subset.end(),
+        [&](const auto& id)
+        {
+            const auto& other = this->targets.at(id);
+            return &other != &except &&
+                   this->state_of(other, now) == target_state::available &&
+                   !this->is_saturated(other, now);
+        });
+}
+
+void target_table::update_subset()
+{
+    this->subset = this->nearest(true);
+    const auto far = this->nearest(false);
+    this->subset.insert(this->subset.end(), far.begin(), far.end());
+}
+
+std::vector<std::string> target_table::nearest(bool own_zone) const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> order;
+    for (const auto& [id, candidate] : this->targets)
+    {
+        const bool usable = !candidate.listed_leaving;
+        if (usable && (candidate.zone == this->zone) == own_zone)
+        {
+            order.emplace_back(base::hash_parts({this->self, id}), id);
+        }
+    }
+    const auto count = std::min(order.size(), subset_size);
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(order.begin(), end, order.end(), std::greater<>());
+    std::vector<std::string> ids;
+    for (auto item = order.begin(); item != end; ++item)
+    {
+        ids.push_back(std::move(item->second));
+    }
+    return ids;
+}
+
+target_table::target* target_table::probe_due(
+    const std::set<std::string>& excluded, base::time_ms now)
+{
+    for (const auto& id : this->subset)
+    {
+        auto& candidate = this->targets.at(id);
+        const bool idle = candidate.in_flight == 0;
+        const bool due = now - candidate.last_probe >= candidate.probe_interval;
+        const bool ejected =
+            this->state_of(candidate, now) == target_state::ejected;
+        if (ejected && idle && due && excluded.count(id) == 0)
+        {
+            return &candidate;
+        }
+    }
+    return nullptr;
+}
+
+target_table::target* target_table::better_of_two(
+    std::vector<target*>& pool, std::mt19937_64& random,
+    base::time_ms now) const
+{
+    if (pool.size() == 1)
+    {
+        return pool.front();
+    }
+    //! Two different ones: the worst of all is never chosen.
+    const auto one = random() % pool.size();
+    const auto other = (one + 1 + random() % (pool.size() - 1)) % pool.size();
+    auto* first = pool[one];
+    auto* second = pool[other];
+    return this->cost(*first, now) <= this->cost(*second, now) ? first : second;
+}
+
+void target_table::eject_if_slow(target& candidate, base::time_ms now)
+{
+    const double median = this->median_latency(candidate);
+    const bool slow = candidate.samples >= slow_min_samples && median > 0 &&
+                      candidate.latency_ms > slow_minimum_ms &&
+                      candidate.latency_ms > slow_ratio * median;
+    const bool failing = candidate.failures >= failure_threshold;
+    if (!slow && !failing)
+    {
+        candidate.ejected_until = {INT64_MIN / 2};
+        candidate.probe_interval = {0};
+        return;
+    }
+    const bool was_ejected = candidate.ejected_until > now;
+    const auto allowed = this->subset.size() / ejected_share;
+    const bool possible = this->ejected_count(now) < allowed &&
+                          this->others_have_room(candidate, now);
+    if (!was_ejected && !possible)
+    {
+        return;
+    }
+    //! Each probe that finds it slow still makes the next one later.
+    const bool probed = now - candidate.last_probe >= candidate.probe_interval;
+    if (!was_ejected || probed)
+    {
+        candidate.probe_interval =
+            was_ejected ? std::min(candidate.probe_interval * 2, probe_longest)
+                        : probe_first;
+        candidate.last_probe = now;
+    }
+    candidate.ejected_until = now + candidate.probe_interval * 2;
+}
+
+double target_table::median_latency(const target& except) const
+{
+    std::vector<double> values;
+    for (const auto& id : this->subset)
+    {
+        const auto& candidate = this->targets.at(id);
+        if (&candidate != &except && candidate.samples > 0)
+        {
+            values.push_back(candidate.latency_ms);
+        }
+    }
+    if (values.empty())
+    {
+        return 0;
+    }
+    const auto middle =
+        values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+std::size_t target_table::ejected_count(base::time_ms now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->subset.begin(), this->subset.end(),
+        [&](const auto& id)
+        { return this->targets.at(id).ejected_until > now; }));
+}
+} // namespace bilberrytally::decisions
