--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace bilberrytally::node
 {
@@ -284,16 +285,22 @@
 void directory_follower::update_role()
 {
     std::vector<decisions::fleet_member> members;
-    const auto role = this->state.with(
+    decisions::watch_role role;
+    const bool changed = this->state.with(
         [&](follow_state& state)
         {
             for (const auto& target : state.view.all_targets())
             {
                 members.push_back({target.host, target.zone});
             }
-            return state.role = decisions::choose_watch_role(
-                       this->tables.settings.node.address, std::move(members));
+            role = decisions::choose_watch_role(
+                this->tables.settings.node.address, std::move(members));
+            return std::exchange(state.role, role) != role;
         });
+    if (!changed)
+    {
+        return;
+    }
     this->tables.note(
         {0, "watch_role", 0, 0, "",
          std::string("watches=") + (role.watches ? "1" : "0") +
