All nodes of a small fleet watch; watching nodes tell only what the store confirmed a moment ago

Change: up to 16 nodes all watch, as before the watches were shared; larger fleets have eight watching nodes at least; a watching node waits 0.7 s at a time and tells others only within 0.9 s of an answer; the others step in 0.6 s later. Ruled out: more watching nodes alone (the users' troubles may pick those that read last).

--- a/src/decisions/internal/watch_group.cpp
+++ b/src/decisions/internal/watch_group.cpp
@@ -10,8 +10,12 @@
 namespace
 {
 constexpr std::size_t largest_group = 32;
-//! Groups up to this size have one watching node, larger ones two.
-constexpr std::size_t small_group = 6;
+//! Up to this size all nodes watch: a store that turns a part of the machines
+//! away could leave out all of a few.
+constexpr std::size_t small_fleet = 16;
+//! Watching nodes of a larger fleet, at least.
+constexpr std::size_t fewest_watching = 8;
+constexpr std::size_t fewest_of_group = 2;
 
 using group = std::vector<std::string>;
 
@@ -26,9 +30,8 @@
     return groups;
 }
 
-group watching_nodes(group members)
+group watching_nodes(group members, std::size_t count)
 {
-    const std::size_t count = members.size() > small_group ? 2 : 1;
     std::sort(
         members.begin(), members.end(),
         [](const auto& a, const auto& b)
@@ -67,17 +70,31 @@
             hosts.push_back(member.host);
         }
     }
+    std::vector<group> groups;
+    std::size_t nodes = 0;
+    for (const auto& [zone, hosts] : zones)
+    {
+        nodes += hosts.size();
+        const auto parts = split_zone(hosts);
+        groups.insert(groups.end(), parts.begin(), parts.end());
+    }
+    const auto share =
+        (fewest_watching + groups.size() - 1) / std::max(groups.size(), 1UL);
     group own;
     group watching;
-    for (const auto& [zone, hosts] : zones)
+    for (const auto& part : groups)
     {
-        for (const auto& part : split_zone(hosts))
-        {
-            add(watching, watching_nodes(part), "");
-            own = contains(part, self) ? part : own;
-        }
+        add(watching, watching_nodes(part, std::max(share, fewest_of_group)),
+            "");
+        own = contains(part, self) ? part : own;
     }
     watch_role role;
+    if (nodes <= small_fleet)
+    {
+        role.watches = true;
+        role.assigned = !own.empty();
+        return role;
+    }
     //! A node that is not listed yet looks after itself.
     role.assigned = contains(watching, self);
     role.watches = own.empty() || role.assigned;
--- a/src/decisions/tests/watch_group_test.cpp
+++ b/src/decisions/tests/watch_group_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -55,6 +56,13 @@
             }
             CHECK(own_zone >= 1);
         }
+        //! A store that turns a good third of the machines away leaves some.
+        CHECK(watching.size() >= std::min<std::size_t>(fleet.size(), 8));
+        if (fleet.size() <= 16)
+        {
+            CHECK(watching.size() == fleet.size());
+            continue;
+        }
         //! Watching nodes tell each other, so that one that the store has left
         //! alone is told by the others.
         for (const auto& host : watching)
@@ -82,13 +90,15 @@
 {
     auto fleet = make_fleet(40, 3);
     const auto role = choose_watch_role("10.0.0.7", fleet);
-    fleet.insert(fleet.end(), fleet.rbegin(), fleet.rend());
+    const std::vector<fleet_member> reversed(fleet.rbegin(), fleet.rend());
+    fleet.insert(fleet.end(), reversed.begin(), reversed.end());
     CHECK(choose_watch_role("10.0.0.7", fleet) == role);
 }
 
 TEST_CASE("a node that is not listed watches by itself")
 {
-    for (const auto& fleet : {make_fleet(40, 3), make_fleet(0, 1)})
+    for (const auto& fleet :
+         {make_fleet(40, 3), make_fleet(5, 1), make_fleet(0, 1)})
     {
         const auto role = choose_watch_role("10.9.9.9", fleet);
         CHECK(role.watches);
--- a/src/decisions/watch_group.hpp
+++ b/src/decisions/watch_group.hpp
@@ -21,18 +21,19 @@
 {
     //! This node waits at the store for changes.
     bool watches{false};
-    //! It watches for others, not just since it is not listed.
+    //! It watches by the list, not just since it is not listed.
     bool assigned{false};
-    //! Nodes that it tells of changes; none where it does not watch.
+    //! Nodes that it tells of changes; none where it does not watch, or all do.
     std::vector<std::string> tells;
 
     bool operator==(const watch_role&) const = default;
 };
 
 //! Shares the watches of a store among the nodes of a fleet, so that its calls
-//! grow slower than the fleet. Each availability zone is cut into groups of
-//! bounded size; the first nodes of a group by hash watch for it and tell its
-//! other members and the watching nodes of all groups. All nodes that know the
+//! grow slower than the fleet. In a small fleet all nodes watch. Else each
+//! availability zone is cut into groups of bounded size; the first nodes of a
+//! group by hash watch for it and tell its other members and the watching nodes
+//! of all groups. All nodes that know the
 //! same members come to the same roles; where lists differ for a moment, a
 //! node that hears from no watching node watches by itself.
 watch_role
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -16,12 +16,18 @@
 constexpr base::duration_ms settle_time{300};
 //! A watch that told nothing for so long of what peers know is left.
 constexpr base::duration_ms watch_lost{600};
-constexpr base::duration_ms shortest_watch{5000};
+constexpr base::duration_ms shortest_watch{10000};
+//! Waits of a node on which others rely are short, so that it knows at once
+//! that the store has left it alone without a word.
+constexpr base::duration_ms told_watch{700};
+//! It tells others no longer than this after an answer. With telling_lost it
+//! is the longest time for which others can miss a change.
+constexpr base::duration_ms claim_time{900};
 //! Watching nodes tell of themselves at least this often.
 constexpr base::duration_ms telling_interval{400};
 //! A node that hears of no watching node for so long watches by itself; with
 //! its first answer well within the two seconds of a change's bound.
-constexpr base::duration_ms telling_lost{900};
+constexpr base::duration_ms telling_lost{600};
 //! A peer that was asked has answered by then, or will not.
 constexpr base::duration_ms asking_time{100};
 //! Changes in quick succession are gathered: small beside the two seconds in
@@ -264,8 +270,10 @@
             digest.revision = state.view.revision();
             const bool due =
                 now >= state.next_telling || digest.revision != state.told;
-            if (!state.role.assigned || state.watcher->is_lost() ||
-                this->tables.draining || !due)
+            const bool heard = !state.watcher->is_lost() &&
+                               now - state.watcher->last_answer() < claim_time;
+            if (state.role.tells.empty() || !heard || this->tables.draining ||
+                !due)
             {
                 return {};
             }
@@ -510,7 +518,9 @@
         {
             const auto nodes = state.view.target_count();
             this->update_watch(state, now);
-            state.watcher->tick(now, this->watch_wait(nodes));
+            const auto wait =
+                state.role.tells.empty() ? this->watch_wait(nodes) : told_watch;
+            state.watcher->tick(now, wait);
             return state.view.tick(now);
         });
     this->apply(change);
