--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -27,6 +27,8 @@
 {
 constexpr std::chrono::milliseconds tick_interval{10};
 constexpr base::duration_ms last_requests{200};
+//! Callers that never pause are left at the first moment without work.
+constexpr base::duration_ms quiet_limit{3500};
 constexpr base::duration_ms silence_interval{100};
 constexpr base::duration_ms restore_interval{200};
 constexpr base::duration_ms settings_interval{1000};
@@ -543,7 +545,8 @@
             this->caller_server->close();
         }
         //! Requests on connections accepted last are still served.
-        if (this->closing && now - this->busy_at >= last_requests)
+        const bool quiet = now - this->busy_at >= last_requests;
+        if (this->closing && (quiet || (idle && since >= quiet_limit)))
         {
             LOG(INFO) << "event=drained";
             this->stop(0);
