Encode a digest only where there is someone to tell; drop a time that nothing reads

Found on reading the whole change: tell_others encoded its digest at each tick of 10 ms, whether due or not; last_used of a link was written at each send and read nowhere since the constant for idle links went. No behaviour changed. transport and node tests pass; formatter clean.

--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -281,6 +281,10 @@
             state.told = digest.revision;
             return state.role.tells;
         });
+    if (hosts.empty())
+    {
+        return;
+    }
     const auto body = transport::encode(digest);
     for (const auto& host : hosts)
     {
--- a/src/transport/internal/peer_network.cpp
+++ b/src/transport/internal/peer_network.cpp
@@ -394,7 +394,7 @@
     {
         link->set_cut(true);
     }
-    table.by_id.emplace(id, entry{link, address, false, false, base::now()});
+    table.by_id.emplace(id, entry{link, address, false, false});
     return link;
 }
 
@@ -408,7 +408,6 @@
             {
                 return std::shared_ptr<peer_link>();
             }
-            found->second.last_used = base::now();
             return found->second.link;
         });
 }
--- a/src/transport/peer_network.hpp
+++ b/src/transport/peer_network.hpp
@@ -71,7 +71,6 @@
         peer_address address;
         bool up{false};
         bool silent{false};
-        base::time_ms last_used;
     };
     struct link_table
     {
