Report the delay of the event loop and the processor time of a node

Each second the node sets the gauges event_loop_delay_ms and processor_percent, and logs event_loop_delayed where work waits for 20 ms and more on average.

--- /dev/null
+++ b/src/node/internal/event_loop_monitor.cpp
@@ -0,0 +1,61 @@
+#include "node/internal/event_loop_monitor.hpp"
+
+#include <algorithm>
+#include <ctime>
+
+namespace bilberrytally::node
+{
+namespace
+{
+constexpr base::duration_ms period{1000};
+constexpr double percent = 100;
+constexpr std::int64_t ms_per_s = 1000;
+} // namespace
+
+event_loop_monitor::event_loop_monitor(
+    base::duration_ms interval, base::time_ms now)
+    : interval(interval), last_tick(now), period_start(now)
+{
+}
+
+std::optional<event_loop_report>
+event_loop_monitor::on_tick(base::time_ms now, base::duration_ms processor_time)
+{
+    const auto delay =
+        std::max(now - this->last_tick - this->interval, base::duration_ms{0});
+    this->last_tick = now;
+    this->total_delay = this->total_delay + delay;
+    this->longest_delay = std::max(this->longest_delay, delay);
+    ++this->ticks;
+    const auto elapsed = now - this->period_start;
+    if (elapsed < period)
+    {
+        return std::nullopt;
+    }
+    const auto used = processor_time - this->processor_time_at_start;
+    const event_loop_report report{
+        static_cast<double>(this->total_delay.count) /
+            static_cast<double>(this->ticks),
+        this->longest_delay,
+        percent * static_cast<double>(used.count) /
+            static_cast<double>(elapsed.count)};
+    this->begin_period(now, processor_time);
+    return report;
+}
+
+void event_loop_monitor::begin_period(
+    base::time_ms now, base::duration_ms processor_time)
+{
+    this->period_start = now;
+    this->processor_time_at_start = processor_time;
+    this->total_delay = {};
+    this->longest_delay = {};
+    this->ticks = 0;
+}
+
+base::duration_ms process_cpu_time()
+{
+    return {
+        static_cast<std::int64_t>(std::clock()) * ms_per_s / CLOCKS_PER_SEC};
+}
+} // namespace bilberrytally::node
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -6,6 +6,7 @@
 #include "node/internal/caller_side.hpp"
 #include "node/internal/directory_follower.hpp"
 #include "node/internal/document_gossip.hpp"
+#include "node/internal/event_loop_monitor.hpp"
 #include "node/internal/settings_file.hpp"
 #include "node/internal/target_side.hpp"
 #include "transport/message_codec.hpp"
@@ -32,6 +33,8 @@
 constexpr base::duration_ms liveness_check_interval{100};
 constexpr base::duration_ms reconnect_interval{200};
 constexpr base::duration_ms settings_check_interval{1000};
+//! Mean delay of the event loop, in ms, from which on it is logged.
+constexpr double logged_loop_delay_ms = 20;
 constexpr int exit_forced = 3;
 constexpr double ms_per_s = 1000;
 constexpr std::uint32_t ok_status = 200;
@@ -497,6 +500,7 @@
                 this->reload("file");
             }
         }
+        this->check_event_loop(now);
         const auto suspended = this->tables.suspensions.on_tick(now);
         if (suspended.count > 0)
         {
@@ -544,6 +548,30 @@
             });
     }
 
+    void check_event_loop(base::time_ms now)
+    {
+        const auto report = this->loop_monitor.on_tick(now, process_cpu_time());
+        if (!report)
+        {
+            return;
+        }
+        auto& metrics = this->tables.node_metrics;
+        metrics.set_gauge("event_loop_delay_ms", report->mean_delay_ms);
+        metrics.set_gauge("processor_percent", report->processor_percent);
+        if (report->mean_delay_ms < logged_loop_delay_ms)
+        {
+            return;
+        }
+        // A warning, as informational lines are left out under load.
+        LOG(WARNING) << "event=event_loop_delayed mean_ms="
+                     << std::lround(report->mean_delay_ms)
+                     << " longest_ms=" << report->longest_delay.count
+                     << " processor_percent="
+                     << std::lround(report->processor_percent)
+                     << " calls_as_caller=" << this->outbound_calls.call_count()
+                     << " calls_as_target=" << this->inbound_calls.call_count();
+    }
+
     void check_drained(base::time_ms now)
     {
         const bool idle = this->outbound_calls.call_count() == 0 &&
@@ -600,6 +628,8 @@
     std::unique_ptr<http::http_server> ready_server;
     asio::signal_set signals;
     asio::steady_timer timer;
+    event_loop_monitor loop_monitor{
+        base::duration_ms{tick_interval.count()}, base::now()};
     bool signals_added{false};
     std::atomic<bool> stopping{false};
     //! Set before \c stopping, by the thread that handles the signal.
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "configuration/configuration_client.hpp"
+#include "node/internal/event_loop_monitor.hpp"
 #include "node/internal/http_mapping.hpp"
 #include "node/internal/issued_key.hpp"
 #include "node/internal/suspension_detector.hpp"
@@ -66,6 +67,23 @@
     CHECK(detector.buffered_time({5050}).count == 0);
 }
 
+TEST_CASE("the event loop's delay and processor time are reported each second")
+{
+    event_loop_monitor monitor({10}, {0});
+    CHECK_FALSE(monitor.on_tick({10}, {5}));
+    CHECK_FALSE(monitor.on_tick({520}, {300}));
+    const auto report = monitor.on_tick({1030}, {412});
+    REQUIRE(report);
+    CHECK(report->mean_delay_ms == doctest::Approx((0 + 500 + 500) / 3.0));
+    CHECK(report->longest_delay.count == 500);
+    CHECK(report->processor_percent == doctest::Approx(40));
+    CHECK_FALSE(monitor.on_tick({1040}, {412}));
+    const auto calm = monitor.on_tick({2040}, {412});
+    REQUIRE(calm);
+    CHECK(calm->longest_delay.count == 990);
+    CHECK(calm->processor_percent == doctest::Approx(0));
+}
+
 TEST_CASE("errors in the configuration service's responses name the field")
 {
     const auto text_of = [](const std::string& body)
