Report how long the frames of other nodes wait

The transport measures the delay of each frame already; its mean joins the report and the gauge frame_delay_ms.

--- a/src/node/internal/event_loop_monitor.cpp
+++ b/src/node/internal/event_loop_monitor.cpp
@@ -18,6 +18,12 @@
 {
 }
 
+void event_loop_monitor::on_frame(base::duration_ms delay)
+{
+    ++this->frames;
+    this->total_frame_delay_ms += delay.count;
+}
+
 std::optional<event_loop_report>
 event_loop_monitor::on_tick(base::time_ms now, base::duration_ms processor_time)
 {
@@ -33,10 +39,14 @@
         return std::nullopt;
     }
     const auto used = processor_time - this->processor_time_at_start;
+    const auto frames = this->frames.exchange(0);
+    const auto frame_delay_ms = this->total_frame_delay_ms.exchange(0);
     const event_loop_report report{
         static_cast<double>(this->total_delay.count) /
             static_cast<double>(this->ticks),
-        this->longest_delay,
+        this->longest_delay, frames,
+        static_cast<double>(frame_delay_ms) /
+            static_cast<double>(std::max<std::int64_t>(frames, 1)),
         percent * static_cast<double>(used.count) /
             static_cast<double>(elapsed.count)};
     this->begin_period(now, processor_time);
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -33,8 +33,8 @@
 constexpr base::duration_ms liveness_check_interval{100};
 constexpr base::duration_ms reconnect_interval{200};
 constexpr base::duration_ms settings_check_interval{1000};
-//! Mean delay of the event loop, in ms, from which on it is logged.
-constexpr double logged_loop_delay_ms = 20;
+//! Mean delay in the event loop, in ms, from which on it is logged.
+constexpr double logged_delay_ms = 20;
 constexpr int exit_forced = 3;
 constexpr double ms_per_s = 1000;
 constexpr std::uint32_t ok_status = 200;
@@ -301,6 +301,7 @@
     {
         using transport::frame_kind;
         this->tables.events.observe(frame.logical_time);
+        this->loop_monitor.on_frame(frame.delay);
         switch (frame.kind)
         {
         case frame_kind::call:
@@ -557,8 +558,10 @@
         }
         auto& metrics = this->tables.node_metrics;
         metrics.set_gauge("event_loop_delay_ms", report->mean_delay_ms);
+        metrics.set_gauge("frame_delay_ms", report->mean_frame_delay_ms);
         metrics.set_gauge("processor_percent", report->processor_percent);
-        if (report->mean_delay_ms < logged_loop_delay_ms)
+        if (report->mean_delay_ms + report->mean_frame_delay_ms <
+            logged_delay_ms)
         {
             return;
         }
@@ -566,6 +569,8 @@
         LOG(WARNING) << "event=event_loop_delayed mean_ms="
                      << std::lround(report->mean_delay_ms)
                      << " longest_ms=" << report->longest_delay.count
+                     << " frames=" << report->frames << " frame_delay_ms="
+                     << std::lround(report->mean_frame_delay_ms)
                      << " processor_percent="
                      << std::lround(report->processor_percent)
                      << " calls_as_caller=" << this->outbound_calls.call_count()
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -71,16 +71,21 @@
 {
     event_loop_monitor monitor({10}, {0});
     CHECK_FALSE(monitor.on_tick({10}, {5}));
+    monitor.on_frame({30});
+    monitor.on_frame({10});
     CHECK_FALSE(monitor.on_tick({520}, {300}));
     const auto report = monitor.on_tick({1030}, {412});
     REQUIRE(report);
     CHECK(report->mean_delay_ms == doctest::Approx((0 + 500 + 500) / 3.0));
     CHECK(report->longest_delay.count == 500);
+    CHECK(report->frames == 2);
+    CHECK(report->mean_frame_delay_ms == doctest::Approx(20));
     CHECK(report->processor_percent == doctest::Approx(40));
     CHECK_FALSE(monitor.on_tick({1040}, {412}));
     const auto calm = monitor.on_tick({2040}, {412});
     REQUIRE(calm);
     CHECK(calm->longest_delay.count == 990);
+    CHECK(calm->frames == 0);
     CHECK(calm->processor_percent == doctest::Approx(0));
 }
 
