Read and write the frames of a connection in batches

Cause: a frame cost two turns of the event loop to read (header, body) and one to write. Calls stay in their zone since, so a node talks to few peers over few connections; beside the four firmware targets, each of which makes five calls for every call, these carry some 1,000 frames a second each. At 4,000 frames/s of such a node its processor was full, and what waited was the input of just these connections: frames waited 15, 66, 89, 101 ms in the seconds 13 to 16 at the node of zone d, 15 to 34 ms at that of zone b in seconds 3 to 6, while turns took 1 ms. A chain passes such a node a dozen times. All calls became late together, and were cancelled and sent again. Ruled out: cost of a call (112 s of processor time before, 116 s now), false suspensions (no event=woke). Change: frame_buffer splits whatever has arrived into frames, and one write takes all queued messages up to 64 KB. The more waits, the less a frame costs.

--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -6,7 +6,6 @@
 #include <asio/buffer.hpp>
 #include <asio/dispatch.hpp>
 #include <asio/post.hpp>
-#include <asio/read.hpp>
 #include <asio/write.hpp>
 
 #include <utility>
@@ -17,6 +16,8 @@
 {
 //! Largest frame body accepted.
 constexpr std::size_t max_body_bytes = 80U << 20U;
+//! No further message joins a batch of messages of this size.
+constexpr std::size_t max_batch_bytes = 64U << 10U;
 //! Limit for connecting and completing the handshake.
 constexpr base::duration_ms connect_timeout{500};
 //! A peer from which an answer is awaited is pinged after receiving nothing for
@@ -36,7 +37,7 @@
     : strand(asio::make_strand(context)), socket(this->strand), id(id),
       codec(key), peer(std::move(peer)), local_hello(std::move(local_hello)),
       events(events), last_received_at(base::now()),
-      created_at(this->last_received_at)
+      created_at(this->last_received_at), received(max_body_bytes)
 {
 }
 
@@ -60,7 +61,7 @@
                     self->connected = true;
                     self->socket.set_option(asio::ip::tcp::no_delay(true));
                     self->send_hello();
-                    self->read_header();
+                    self->read_next();
                 });
         });
 }
@@ -77,7 +78,7 @@
             self->socket.assign(protocol, handle);
             self->connected = true;
             self->socket.set_option(asio::ip::tcp::no_delay(true));
-            self->read_header();
+            self->read_next();
         });
 }
 
@@ -170,40 +171,28 @@
 
 void peer_link::update_unwritten_count()
 {
-    this->unwritten_messages = this->queue.size() + (this->writing ? 1 : 0);
+    this->unwritten_messages =
+        this->queue.size() + (this->writing ? this->batch.size() : 0);
 }
 
 void peer_link::write_next()
 {
-    if (this->writing || this->queue.empty() || !this->connected)
+    if (this->writing || !this->connected)
     {
         return;
     }
-    const bool is_hello = this->queue.front().kind == frame_kind::hello;
-    if (!this->established && !is_hello)
+    this->fill_batch();
+    if (this->batch.empty())
     {
         return;
     }
-    this->message_in_write = std::move(this->queue.front());
-    this->queue.pop_front();
-    if (this->partitioned)
+    this->writing = true;
+    std::vector<asio::const_buffer> buffers;
+    for (std::size_t i = 0; i < this->batch.size(); ++i)
     {
-        this->write_next();
-        return;
+        buffers.push_back(asio::buffer(this->batch_headers[i]));
+        buffers.push_back(asio::buffer(this->batch[i].body));
     }
-    const frame_header header{
-        static_cast<std::uint32_t>(this->message_in_write.kind),
-        static_cast<std::uint32_t>(this->message_in_write.body.size()),
-        this->next_sequence++,
-        this->peer_session,
-        base::now().count,
-        this->events.logical_time()};
-    this->write_header_bytes =
-        this->codec.seal(header, this->message_in_write.body);
-    this->writing = true;
-    const std::array<asio::const_buffer, 2> buffers{
-        asio::buffer(this->write_header_bytes),
-        asio::buffer(this->message_in_write.body)};
     auto self = this->shared_from_this();
     asio::async_write(
         this->socket, buffers,
@@ -220,51 +209,73 @@
         });
 }
 
-void peer_link::read_header()
+void peer_link::fill_batch()
+{
+    this->batch.clear();
+    this->batch_headers.clear();
+    std::size_t batch_bytes = 0;
+    while (!this->queue.empty() && batch_bytes < max_batch_bytes)
+    {
+        auto& message = this->queue.front();
+        if (!this->established && message.kind != frame_kind::hello)
+        {
+            return;
+        }
+        const frame_header header{
+            static_cast<std::uint32_t>(message.kind),
+            static_cast<std::uint32_t>(message.body.size()),
+            this->next_sequence,
+            this->peer_session,
+            base::now().count,
+            this->events.logical_time()};
+        if (!this->partitioned)
+        {
+            ++this->next_sequence;
+            batch_bytes += message.body.size();
+            this->batch_headers.push_back(
+                this->codec.seal(header, message.body));
+            this->batch.push_back(std::move(message));
+        }
+        this->queue.pop_front();
+    }
+}
+
+void peer_link::read_next()
 {
     auto self = this->shared_from_this();
-    asio::async_read(
-        this->socket, asio::buffer(this->read_header_bytes),
-        [self](std::error_code error, std::size_t)
+    const auto space = this->received.free_space();
+    this->socket.async_read_some(
+        asio::buffer(space.data(), space.size()),
+        [self](std::error_code error, std::size_t count)
         {
             if (error || self->disconnected)
             {
                 self->disconnect();
                 return;
             }
-            frame_header header;
-            const auto problem = frame_codec::parse_header(
-                self->read_header_bytes, max_body_bytes, header);
-            if (problem != frame_error::none)
+            self->received.commit(count);
+            while (auto frame = self->received.next())
             {
-                self->reject(problem);
-                return;
+                self->on_complete_frame(std::move(*frame));
+                if (self->disconnected)
+                {
+                    return;
+                }
             }
-            self->read_body(header);
-        });
-}
-
-void peer_link::read_body(const frame_header& header)
-{
-    auto self = this->shared_from_this();
-    this->read_body_bytes.resize(header.length);
-    asio::async_read(
-        this->socket, asio::buffer(this->read_body_bytes),
-        [self, header](std::error_code error, std::size_t)
-        {
-            if (error || self->disconnected)
+            if (self->received.error() != frame_error::none)
             {
-                self->disconnect();
+                self->reject(self->received.error());
                 return;
             }
-            self->on_complete_frame(header);
+            self->read_next();
         });
 }
 
-void peer_link::on_complete_frame(const frame_header& header)
+void peer_link::on_complete_frame(received_frame received)
 {
+    const auto& header = received.header;
     const auto problem =
-        this->codec.verify(this->read_header_bytes, this->read_body_bytes);
+        this->codec.verify(received.header_as_sent, received.body);
     if (problem != frame_error::none)
     {
         this->reject(problem);
@@ -274,32 +285,31 @@
     if (this->partitioned)
     {
         this->last_received_sequence = header.sequence;
-        this->read_header();
         return;
     }
     if (!this->established)
     {
-        this->on_hello(header);
+        this->on_hello(received);
         return;
     }
     if (header.session != this->local_hello.session ||
         header.sequence <= this->last_received_sequence)
     {
         this->events.on_rejected(frame_error::replayed);
-        this->read_header();
         return;
     }
     this->last_received_sequence = header.sequence;
     this->last_received_at = now;
     this->ping_pending = false;
     this->set_unresponsive(false);
-    this->deliver(header, this->delays.measure(header.sent_at, now));
-    this->read_header();
+    const auto delay = this->delays.measure(header.sent_at, now);
+    this->deliver(std::move(received), delay);
 }
 
-void peer_link::on_hello(const frame_header& header)
+void peer_link::on_hello(const received_frame& received)
 {
-    const auto hello = decode<schema::hello>(this->read_body_bytes);
+    const auto& header = received.header;
+    const auto hello = decode<schema::hello>(received.body);
     const bool is_hello =
         header.kind == static_cast<std::uint32_t>(frame_kind::hello);
     const auto expected_session =
@@ -320,12 +330,11 @@
     this->established = true;
     this->events.on_up(this->id, *hello);
     this->write_next();
-    this->read_header();
 }
 
-void peer_link::deliver(const frame_header& header, base::duration_ms delay)
+void peer_link::deliver(received_frame received, base::duration_ms delay)
 {
-    const auto kind = static_cast<frame_kind>(header.kind);
+    const auto kind = static_cast<frame_kind>(received.header.kind);
     if (kind == frame_kind::ping)
     {
         this->enqueue({frame_kind::pong, {}, 0});
@@ -336,8 +345,8 @@
         return;
     }
     this->events.on_frame(
-        this->id, {kind, std::exchange(this->read_body_bytes, {}), delay,
-                   header.logical_time});
+        this->id,
+        {kind, std::move(received.body), delay, received.header.logical_time});
 }
 
 void peer_link::reject(frame_error error)
--- a/src/transport/peer_link.hpp
+++ b/src/transport/peer_link.hpp
@@ -3,6 +3,7 @@
 #include "schema/messages.hpp"
 #include "transport/delay_meter.hpp"
 #include "transport/frame.hpp"
+#include "transport/frame_buffer.hpp"
 #include "transport/frame_codec.hpp"
 
 #include <asio/io_context.hpp>
@@ -115,11 +116,12 @@
     void send_hello();
     void enqueue(outgoing message);
     void write_next();
-    void read_header();
-    void read_body(const frame_header& header);
-    void on_complete_frame(const frame_header& header);
-    void on_hello(const frame_header& header);
-    void deliver(const frame_header& header, base::duration_ms delay);
+    //! Moves queued messages to the batch that is written next.
+    void fill_batch();
+    void read_next();
+    void on_complete_frame(received_frame received);
+    void on_hello(const received_frame& received);
+    void deliver(received_frame received, base::duration_ms delay);
     void reject(frame_error error);
     void set_unresponsive(bool unresponsive);
     void update_unwritten_count();
@@ -150,9 +152,11 @@
     delay_meter delays;
     std::deque<outgoing> queue;
     std::atomic<std::size_t> unwritten_messages{0};
-    outgoing message_in_write;
-    header_bytes write_header_bytes{};
-    header_bytes read_header_bytes{};
-    std::string read_body_bytes;
+    //! Messages in write with their headers. One write takes all queued
+    //! messages, up to a bound, since each write costs a turn of the event
+    //! loop.
+    std::vector<outgoing> batch;
+    std::vector<header_bytes> batch_headers;
+    frame_buffer received;
 };
 } // namespace bilberrytally::transport
