Start no more calls at a target than the rate limit that it states

Cause: nothing read Server-Limit; a target got calls as long as slots were free. Class: a limit that only the target knows. Change: rate_limit, a token bucket in admission. Calls over the rate wait and are shed in the order of the queue; the reported limit is the number of calls that run at that rate, so that callers choose other targets. Event rate_limit.

--- a/src/decisions/admission.hpp
+++ b/src/decisions/admission.hpp
@@ -4,6 +4,7 @@
 #include "decisions/concurrency_limit.hpp"
 #include "decisions/latency_histogram.hpp"
 #include "decisions/policy_variant.hpp"
+#include "decisions/rate_limit.hpp"
 #include "schema/documents.hpp"
 #include "schema/messages.hpp"
 
@@ -15,6 +16,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <unordered_map>
 #include <vector>
@@ -104,9 +106,15 @@
     //! with this \p id waits.
     bool cancel_waiting(std::uint64_t id);
 
-    //! Refuses waiting calls that have waited too long or can no longer finish
-    //! before their deadline.
-    admission_actions expire(base::time_ms now);
+    //! Records the rate limit that a response of the backend server stated, in
+    //! calls a second; nothing if it stated none. Returns whether the limit has
+    //! changed.
+    bool on_stated_rate(std::optional<double> per_s, base::time_ms now);
+
+    //! Starts waiting calls that the rate limit allows by now, and refuses
+    //! those that have waited too long or can no longer finish before their
+    //! deadline. To be called regularly.
+    admission_actions advance(base::time_ms now);
 
     //! Refuses all waiting calls.
     admission_actions refuse_all(schema::refusal reason);
@@ -167,17 +175,17 @@
         std::uint32_t priority, base::time_ms now) const;
     bool is_overloaded(base::time_ms now) const;
     bool is_long(const admission_request& request) const;
-    bool lane_has_room(bool long_work) const;
+    bool lane_has_room(bool long_work, base::time_ms now) const;
     std::uint32_t max_long_running() const;
     order_key queue_order(const admission_request& request, base::time_ms now);
     base::duration_ms
     expected_wait(const admission_request& request, base::time_ms now) const;
     base::duration_ms expected_service(std::uint64_t route) const;
-    void start(const admission_request& request);
+    void start(const admission_request& request, base::time_ms now);
     void enqueue(const admission_request& request, base::time_ms now);
     void erase_waiting(queue& lane, std::uint64_t id);
     //! Lane whose first call runs next; null if no call may start.
-    queue* next_lane();
+    queue* next_lane(base::time_ms now);
     void start_waiting_calls(base::time_ms now, admission_actions& actions);
     //! Lane that holds the call that is last in the queue order.
     queue& least_important_lane();
@@ -190,9 +198,13 @@
     //! Fills in worst_waiting of all refusals, once the queue is final.
     admission_actions with_worst_waiting(admission_actions actions) const;
     std::uint32_t current_limit() const;
+    //! The limit that callers are told: the concurrency limit, or fewer calls
+    //! under a rate limit.
+    std::uint32_t reported_limit() const;
 
     policy_variant variant;
     concurrency_limit limit;
+    rate_limit stated_rate;
     base::duration_ms max_wait;
     std::uint32_t long_share_percent{50};
     std::array<queue, 2> lanes;
--- a/src/decisions/internal/admission.cpp
+++ b/src/decisions/internal/admission.cpp
@@ -33,6 +33,7 @@
 constexpr unsigned root_hash_shift = 61;
 //! Weight of a new sample in the moving average of the waiting time.
 constexpr double wait_average_weight = 0.1;
+constexpr double ms_per_s = 1000;
 constexpr base::time_ms never{INT64_MIN / 2};
 //! Backend servers slow down when their last slots are taken. With exact slots
 //! only this share of them is used.
@@ -95,7 +96,7 @@
     const auto wait = this->expected_wait(request, now);
     const bool must_not_overtake =
         this->is_less_important_than_refused(request.priority, now) &&
-        !this->lane_has_room(this->is_long(request));
+        !this->lane_has_room(this->is_long(request), now);
     if (now + wait + service <= request.deadline && !must_not_overtake)
     {
         return false;
@@ -160,10 +161,16 @@
     return false;
 }
 
-admission_actions admission::expire(base::time_ms now)
+bool admission::on_stated_rate(std::optional<double> per_s, base::time_ms now)
+{
+    return this->stated_rate.on_response(per_s, now);
+}
+
+admission_actions admission::advance(base::time_ms now)
 {
     admission_actions actions;
     this->refuse_expired(now, actions);
+    this->start_waiting_calls(now, actions);
     return this->with_worst_waiting(std::move(actions));
 }
 
@@ -191,6 +198,21 @@
         this->variant);
 }
 
+std::uint32_t admission::reported_limit() const
+{
+    const auto limit = this->current_limit();
+    const auto rate = this->stated_rate.rate();
+    const double service_ms = this->all_service_times.mean();
+    if (!rate || service_ms <= 0)
+    {
+        return limit;
+    }
+    // Little's law: the calls that run at once if they start at this rate.
+    const double running = std::ceil(*rate * service_ms / ms_per_s);
+    return static_cast<std::uint32_t>(
+        std::clamp(running, 1.0, static_cast<double>(limit)));
+}
+
 void admission::refuse_expired(base::time_ms now, admission_actions& actions)
 {
     for (auto& lane : this->lanes)
@@ -237,7 +259,7 @@
     // Reports running and waiting calls, unlike in_flight().
     report.in_flight =
         this->in_flight() + static_cast<std::uint32_t>(this->waiting());
-    report.limit = this->current_limit();
+    report.limit = this->reported_limit();
     // 255 says that no class is shed.
     report.floor = UINT8_MAX;
     if (!is_full_policy(this->variant))
@@ -303,9 +325,10 @@
     return std::max(1U, share);
 }
 
-bool admission::lane_has_room(bool long_work) const
+bool admission::lane_has_room(bool long_work, base::time_ms now) const
 {
-    if (this->in_flight() >= this->current_limit())
+    if (this->in_flight() >= this->current_limit() ||
+        !this->stated_rate.allows(now))
     {
         return false;
     }
@@ -334,7 +357,7 @@
     const admission_request& request, base::time_ms now) const
 {
     const bool long_work = this->is_long(request);
-    if (this->lane_has_room(long_work) && this->waiting() == 0)
+    if (this->lane_has_room(long_work, now) && this->waiting() == 0)
     {
         return {0};
     }
@@ -347,8 +370,10 @@
     ahead += this->is_overloaded(now) ? same_class / 2 : same_class;
     const double per_slot =
         static_cast<double>(ahead) / static_cast<double>(this->limit.value());
-    return {
+    const base::duration_ms wait_for_slot{
         static_cast<std::int64_t>(per_slot * this->all_service_times.mean())};
+    const auto calls = static_cast<double>(ahead) + 1;
+    return std::max(wait_for_slot, this->stated_rate.time_for(calls, now));
 }
 
 base::duration_ms admission::expected_service(std::uint64_t route) const
@@ -362,8 +387,9 @@
     return found->second.quantile(0.5);
 }
 
-void admission::start(const admission_request& request)
+void admission::start(const admission_request& request, base::time_ms now)
 {
+    this->stated_rate.on_start(now);
     const bool long_work = this->is_long(request);
     this->running.emplace(request.id, running_call{long_work, request.route});
     this->long_running += long_work ? 1 : 0;
@@ -390,12 +416,14 @@
     lane.erase(found);
 }
 
-admission::queue* admission::next_lane()
+admission::queue* admission::next_lane(base::time_ms now)
 {
     auto& short_lane = this->lanes[0];
     auto& long_lane = this->lanes[1];
-    const bool short_ready = !short_lane.empty() && this->lane_has_room(false);
-    const bool long_ready = !long_lane.empty() && this->lane_has_room(true);
+    const bool short_ready =
+        !short_lane.empty() && this->lane_has_room(false, now);
+    const bool long_ready =
+        !long_lane.empty() && this->lane_has_room(true, now);
     if (!short_ready || !long_ready)
     {
         return short_ready ? &short_lane : long_ready ? &long_lane : nullptr;
@@ -415,7 +443,7 @@
 void admission::start_waiting_calls(
     base::time_ms now, admission_actions& actions)
 {
-    while (auto* lane = this->next_lane())
+    while (auto* lane = this->next_lane(now))
     {
         const auto call = *lane->get<by_order>().begin();
         this->erase_waiting(*lane, call.id);
@@ -427,7 +455,7 @@
         {
             this->overloaded_until = now + overload_hold;
         }
-        this->start(call.request);
+        this->start(call.request, now);
         actions.start.push_back(call.id);
     }
 }
--- a/src/decisions/tests/admission_test.cpp
+++ b/src/decisions/tests/admission_test.cpp
@@ -123,8 +123,8 @@
     admission target(1);
     target.offer(make_request(1, 5, 5000), {0});
     target.offer(make_request(2, 5, 5000), {0});
-    CHECK(target.expire({499}).refuse.empty());
-    const auto late = target.expire({500});
+    CHECK(target.advance({499}).refuse.empty());
+    const auto late = target.advance({500});
     REQUIRE(late.refuse.size() == 1);
     CHECK(late.refuse[0].reason == schema::refusal::overload);
     CHECK(target.waiting() == 0);
--- a/src/decisions/tests/full_targets_test.cpp
+++ b/src/decisions/tests/full_targets_test.cpp
@@ -59,7 +59,7 @@
             this->end_calls(now);
             for (std::size_t zone = 0; zone < zone_count; ++zone)
             {
-                this->apply(zone, this->targets[zone].expire({now}), now);
+                this->apply(zone, this->targets[zone].advance({now}), now);
                 this->arrive(zone, important, important_per_ms, now);
                 this->arrive(zone, unimportant, unimportant_per_ms, now);
             }
--- a/src/directory/header_names.hpp
+++ b/src/directory/header_names.hpp
@@ -18,6 +18,12 @@
     std::string not_executed;
     //! In a response: it was produced by a target.
     std::string signature;
+    //! In a response: how many calls a second the target takes at present, from
+    //! all nodes together.
+    std::string rate_limit;
+    //! In a response: the target is leaving and takes no new requests, if the
+    //! value is 1.
+    std::string leaving;
     //! Service of the caller: that of the instance beside the node that
     //! received the request.
     std::string caller_service;
--- a/src/node/internal/http_mapping.cpp
+++ b/src/node/internal/http_mapping.cpp
@@ -67,6 +67,20 @@
     response.body = body.dump();
     return response;
 }
+
+//! The whole value of a header as a number; nothing where absent or malformed.
+template <class Number>
+std::optional<Number>
+parse_header(const http::header_list& headers, std::string_view name)
+{
+    const auto text = http::find_header(headers, name);
+    Number number{};
+    const auto* end = text.data() + text.size();
+    const auto [parsed_end, status] = std::from_chars(text.data(), end, number);
+    const bool complete =
+        status == std::errc{} && parsed_end == end && !text.empty();
+    return complete ? std::optional(number) : std::nullopt;
+}
 } // namespace
 
 std::string service_of(const http::request& request)
@@ -98,13 +112,13 @@
 std::optional<std::uint64_t>
 parse_number_header(const http::header_list& headers, std::string_view name)
 {
-    const auto text = http::find_header(headers, name);
-    std::uint64_t number = 0;
-    const auto* end = text.data() + text.size();
-    const auto [parsed_end, status] = std::from_chars(text.data(), end, number);
-    const bool complete =
-        status == std::errc{} && parsed_end == end && !text.empty();
-    return complete ? std::optional(number) : std::nullopt;
+    return parse_header<std::uint64_t>(headers, name);
+}
+
+std::optional<double>
+parse_decimal_header(const http::header_list& headers, std::string_view name)
+{
+    return parse_header<double>(headers, name);
 }
 
 std::optional<std::uint64_t>
--- a/src/node/internal/http_mapping.hpp
+++ b/src/node/internal/http_mapping.hpp
@@ -41,6 +41,11 @@
 std::optional<std::uint64_t>
 parse_number_header(const http::header_list& headers, std::string_view name);
 
+//! Decimal number, possibly with a fraction, in a header; nothing where absent
+//! or malformed.
+std::optional<double>
+parse_decimal_header(const http::header_list& headers, std::string_view name);
+
 //! Call id in tracestate; nothing where absent or malformed.
 std::optional<std::uint64_t>
 call_id_from_trace(const http::header_list& headers);
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -494,7 +494,7 @@
                     expired.push_back(id);
                 }
             }
-            return table.admission.expire(now);
+            return table.admission.advance(now);
         });
     this->apply(actions);
     for (const auto id : expired)
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -218,6 +218,10 @@
     void add_platform_headers(
         http::header_list& headers, const inbound_call& call,
         base::duration_ms remaining) const;
+    //! Takes over what a response says of the backend server itself. Only a
+    //! response to this very call counts.
+    void read_backend_state(
+        const schema::call& call, const http::response& received);
     schema::answer to_answer(
         const schema::call& call, http::transfer_result& result,
         std::uint32_t shed_status, bool nested_call_failed) const;
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -219,6 +219,32 @@
     return answer;
 }
 
+void target_side::read_backend_state(
+    const schema::call& call, const http::response& received)
+{
+    if (!this->tables.platform_headers)
+    {
+        return;
+    }
+    const auto& names = *this->tables.platform_headers;
+    const auto response_id =
+        http::find_header(received.headers, names.attempt_id);
+    if (response_id.empty() || response_id != this->request_id(call))
+    {
+        return;
+    }
+    const auto rate = parse_decimal_header(received.headers, names.rate_limit);
+    const bool changed = this->inbound.with(
+        [&](inbound_table& table)
+        { return table.admission.on_stated_rate(rate, base::now()); });
+    if (changed)
+    {
+        this->tables.record_event(
+            {0, "rate_limit", 0, 0, call.service,
+             "per_s=" + (rate ? std::to_string(*rate) : "none")});
+    }
+}
+
 void target_side::on_transfer(std::uint64_t id, http::transfer_result result)
 {
     const auto shed_status = this->inbound.with([](inbound_table& table)
@@ -240,6 +266,10 @@
             has_nested_calls = found->second.has_nested_calls;
             return found->second.message;
         });
+    if (outcome == http::transfer_outcome::answered)
+    {
+        this->read_backend_state(call, result.content);
+    }
     auto answer =
         this->to_answer(call, result, shed_status, nested_call_failed);
     if (outcome == http::transfer_outcome::broken)
