Send no calls to a target that states that it is leaving

Cause: nothing read Server-Leaving. A leaving target that is still listed as ready got calls for as long as the list said so. Class: as with the rate limit, a target's own statement that only its responses carry. Change: the node beside the target refuses calls for it as draining (not run, so that they are sent elsewhere) from the first such response on, and each node that passes one on chooses the target no more, so that a restart of the target's node changes nothing. The statement ends when the target is listed with a later start; it outlives the entry, which the store may drop and bring back. Lists carry the start for that.

--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -17,6 +17,8 @@
 constexpr double latency_weight = 0.2;
 //! Weight of a call in the moving average of the share of failed calls.
 constexpr double failed_share_weight = 0.05;
+//! How long the statement of a target that is not listed is remembered.
+constexpr base::duration_ms stated_leaving_lifetime{600000};
 //! Value of `floor` in a load report of a target that sheds no class.
 constexpr std::uint32_t no_shed_threshold = 255;
 } // namespace
@@ -70,6 +72,7 @@
         }
         target.address = address;
         target.zone = instance.zone;
+        target.started_at_ms = instance.started_at_ms;
         target.listed_leaving =
             instance.state == schema::instance_state::leaving;
     }
@@ -77,9 +80,47 @@
         this->targets,
         [&](const auto& entry) { return listed.count(entry.first) == 0; });
     this->list_known = true;
+    this->update_stated_leaving(now);
     this->update_subset();
 }
 
+void target_table::on_stated_leaving(
+    const std::string& instance, base::time_ms now)
+{
+    const auto found = this->targets.find(instance);
+    const auto started_at_ms = found == this->targets.end()
+                                   ? std::nullopt
+                                   : std::optional(found->second.started_at_ms);
+    this->leaving.try_emplace(instance, stated_leaving{started_at_ms, now});
+}
+
+bool target_table::has_stated_leaving(const std::string& instance) const
+{
+    return this->leaving.count(instance) != 0;
+}
+
+void target_table::update_stated_leaving(base::time_ms now)
+{
+    for (auto& [instance, statement] : this->leaving)
+    {
+        const auto found = this->targets.find(instance);
+        if (!statement.started_at_ms && found != this->targets.end())
+        {
+            statement.started_at_ms = found->second.started_at_ms;
+        }
+    }
+    std::erase_if(
+        this->leaving,
+        [&](const auto& entry)
+        {
+            const auto& [instance, statement] = entry;
+            const auto found = this->targets.find(instance);
+            return found == this->targets.end()
+                       ? now - statement.stated_at >= stated_leaving_lifetime
+                       : found->second.started_at_ms > statement.started_at_ms;
+        });
+}
+
 void target_table::on_dispatch(const std::string& instance, base::time_ms now)
 {
     const auto found = this->targets.find(instance);
@@ -238,7 +279,7 @@
     std::uint64_t best_score = 0;
     for (const auto& [id, candidate] : this->targets)
     {
-        if (excluded.count(id) != 0)
+        if (excluded.count(id) != 0 || this->has_stated_leaving(id))
         {
             continue;
         }
@@ -288,7 +329,9 @@
     const bool expired =
         this->drain_report_lifetime &&
         now - candidate.drain_reported_at >= *this->drain_report_lifetime;
-    if (candidate.draining && !expired)
+    const bool reports_draining = candidate.draining && !expired;
+    if (reports_draining ||
+        this->has_stated_leaving(candidate.address.instance))
     {
         return target_state::draining;
     }
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -143,6 +143,13 @@
     void
     on_draining(const std::string& instance, bool draining, base::time_ms now);
 
+    //! Records that a target stated in a response that it is leaving. It gets
+    //! no more calls until it is listed with another start, even if it is
+    //! dropped from the list and comes back.
+    void on_stated_leaving(const std::string& instance, base::time_ms now);
+    //! True if the target stated that it is leaving and has not started again.
+    bool has_stated_leaving(const std::string& instance) const;
+
     //! Records the state that the node at an address reports of itself, which
     //! also proves it reachable.
     void on_node_state(
@@ -150,7 +157,8 @@
         base::time_ms now);
 
     //! Target that owns \p key by rendezvous hashing over all listed targets
-    //! that are not in \p excluded; nothing if there is none.
+    //! that are not in \p excluded and have not stated that they are leaving;
+    //! nothing if there is none.
     std::optional<target_address>
     owner(std::uint64_t key, const std::set<std::string>& excluded = {}) const;
 
@@ -167,6 +175,7 @@
     {
         target_address address;
         std::string zone;
+        std::uint64_t started_at_ms{0};
         bool listed_leaving{false};
         bool draining{false};
         base::time_ms drain_reported_at{INT64_MIN / 2};
@@ -196,6 +205,17 @@
         bool node_disconnected{false};
     };
 
+    //! A target that stated that it is leaving.
+    struct stated_leaving
+    {
+        //! Start of the process that stated it; nothing if it was not listed.
+        std::optional<std::uint64_t> started_at_ms;
+        base::time_ms stated_at;
+    };
+
+    //! Forgets statements of targets that have started again, and old ones of
+    //! targets that are not listed any more.
+    void update_stated_leaving(base::time_ms now);
     target_state state_of(const target& candidate, base::time_ms now) const;
     //! Expected cost of one more call: load times latency, higher for a target
     //! that warms up. Lower is better.
@@ -263,5 +283,7 @@
     //! Ids of the targets that calls are balanced over.
     std::vector<std::string> subset;
     std::unordered_map<std::string, target> targets;
+    //! By instance. Kept apart from the targets, which the list may drop.
+    std::unordered_map<std::string, stated_leaving> leaving;
 };
 } // namespace bilberrytally::decisions
--- a/src/decisions/tests/routing_test.cpp
+++ b/src/decisions/tests/routing_test.cpp
@@ -325,3 +325,47 @@
     node.on_zone_poll_succeeded({0}, {20000});
     CHECK_FALSE(node.should_poll({20001}));
 }
+
+TEST_CASE(
+    "a target that states that it is leaving gets no call until it restarts")
+{
+    const auto list_with = [](std::uint64_t started_at_ms, bool listed)
+    {
+        schema::instance_list list{1, "s", {}};
+        list.instances.push_back(
+            {"other", "z", "127.0.0.1", 1, schema::instance_state::live, 1});
+        if (listed)
+        {
+            list.instances.push_back(
+                {"left", "z", "127.0.0.1", 2, schema::instance_state::live,
+                 started_at_ms});
+        }
+        return list;
+    };
+    target_table table("self", "z");
+    table.set_drain_report_lifetime({1000});
+    std::mt19937_64 random(3);
+    const auto gets_calls = [&](base::time_ms now)
+    {
+        for (int i = 0; i < 50; ++i)
+        {
+            if (table.choose({}, random, now)->instance == "left")
+            {
+                return true;
+            }
+        }
+        return false;
+    };
+    table.apply(list_with(500, true), {0});
+    CHECK(gets_calls({10}));
+    table.on_stated_leaving("left", {20});
+    CHECK_FALSE(gets_calls({30}));
+    // Unlike a report of its node, the statement does not expire.
+    CHECK_FALSE(gets_calls({60000}));
+    table.apply(list_with(500, false), {61000});
+    table.apply(list_with(500, true), {62000});
+    CHECK_FALSE(gets_calls({63000}));
+    CHECK(table.owner(7)->instance == "other");
+    table.apply(list_with(501, true), {64000});
+    CHECK(gets_calls({80000}));
+}
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -1,4 +1,5 @@
 #include "node/internal/caller_side.hpp"
+#include "node/internal/http_mapping.hpp"
 #include "transport/message_codec.hpp"
 
 #include <algorithm>
@@ -307,6 +308,12 @@
                 targets.on_unreachable(state.target, now);
             }
             const bool routed = this->tables.platform_headers.has_value();
+            if (routed &&
+                states_leaving(
+                    outcome.answer.headers, *this->tables.platform_headers))
+            {
+                targets.on_stated_leaving(state.target, now);
+            }
             const auto latency =
                 relative_latency(table, call, now - state.dispatched, routed);
             // Answers tell only in routed mode whether a nested call caused the
--- a/src/node/internal/directory_follower_apply.cpp
+++ b/src/node/internal/directory_follower_apply.cpp
@@ -101,7 +101,8 @@
         list.instances.push_back(
             {target.instance, target.zone, target.host, local.node_port,
              leaving ? schema::instance_state::leaving
-                     : schema::instance_state::live});
+                     : schema::instance_state::live,
+             target.started_at_ms});
         names += (names.empty() ? "" : ",") + target.instance +
                  (leaving ? ":leaving" : "");
     }
--- a/src/node/internal/http_mapping.cpp
+++ b/src/node/internal/http_mapping.cpp
@@ -121,6 +121,13 @@
     return parse_header<double>(headers, name);
 }
 
+bool states_leaving(
+    const http::header_list& headers,
+    const directory::header_names& platform_headers)
+{
+    return http::find_header(headers, platform_headers.leaving) == "1";
+}
+
 std::optional<std::uint64_t>
 call_id_from_trace(const http::header_list& headers)
 {
--- a/src/node/internal/http_mapping.hpp
+++ b/src/node/internal/http_mapping.hpp
@@ -46,6 +46,11 @@
 std::optional<double>
 parse_decimal_header(const http::header_list& headers, std::string_view name);
 
+//! True if a response says that the target which made it is leaving.
+bool states_leaving(
+    const http::header_list& headers,
+    const directory::header_names& platform_headers);
+
 //! Call id in tracestate; nothing where absent or malformed.
 std::optional<std::uint64_t>
 call_id_from_trace(const http::header_list& headers);
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -103,7 +103,7 @@
 std::optional<schema::refusal>
 target_side::refusal_before_admission(const inbound_call& call) const
 {
-    if (this->tables.draining || this->monitor.is_draining())
+    if (this->is_draining(call.message))
     {
         return refusal::draining;
     }
@@ -125,6 +125,15 @@
     return std::nullopt;
 }
 
+bool target_side::is_draining(const schema::call& call) const
+{
+    bool draining = this->tables.draining || this->monitor.is_draining();
+    this->tables.with_targets(
+        call.service, [&](auto& targets, routing_table&)
+        { draining |= targets.has_stated_leaving(call.expected_instance); });
+    return draining;
+}
+
 schema::refusal target_side::check_quarantine(
     inbound_table& table, std::uint64_t id, base::time_ms now)
 {
@@ -304,8 +313,7 @@
             }
             last_report = now;
             answer.load = table.admission.report(now);
-            answer.load.draining =
-                this->tables.draining || this->monitor.is_draining();
+            answer.load.draining = this->is_draining(call.message);
         });
     this->network->send(
         call.link, transport::frame_kind::answer, transport::encode(answer), 0);
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -178,6 +178,8 @@
     std::uint64_t add(inbound_call call);
     std::string request_id(const schema::call& call) const;
     void admit(std::uint64_t id);
+    //! True if this node or the target of the call takes no new calls.
+    bool is_draining(const schema::call& call) const;
     std::optional<schema::refusal>
     refusal_before_admission(const inbound_call& call) const;
     schema::refusal
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -243,6 +243,14 @@
             {0, "rate_limit", 0, 0, call.service,
              "per_s=" + (rate ? std::to_string(*rate) : "none")});
     }
+    if (states_leaving(received.headers, names))
+    {
+        this->tables.with_targets(
+            call.service,
+            [&](auto& targets, routing_table&) {
+                targets.on_stated_leaving(call.expected_instance, base::now());
+            });
+    }
 }
 
 void target_side::on_transfer(std::uint64_t id, http::transfer_result result)
--- a/src/schema/documents.cpp
+++ b/src/schema/documents.cpp
@@ -198,7 +198,7 @@
 parse_instance(const nlohmann::json& json, const std::string& place)
 {
     BOOST_LEAF_CHECK(internal::check_object(
-        json, place, {"id", "zone", "host", "port", "state"}));
+        json, place, {"id", "zone", "host", "port", "state", "started_at_ms"}));
     instance value;
     BOOST_LEAF_CHECK(
         internal::read_field(json, place, "id", {true, 1, 128}, value.id));
@@ -210,6 +210,9 @@
         json, place, "port", {true, 1, 65535}, value.port));
     BOOST_LEAF_CHECK(internal::read_enum(
         json, place, "state", {"live", "leaving"}, value.state));
+    BOOST_LEAF_CHECK(internal::read_field(
+        json, place, "started_at_ms", {false, 0, internal::no_maximum},
+        value.started_at_ms));
     return value;
 }
 
@@ -221,6 +224,7 @@
     json["host"] = value.host;
     json["port"] = value.port;
     json["state"] = to_string(value.state);
+    json["started_at_ms"] = value.started_at_ms;
     return json;
 }
 base::result<instance_list>
--- a/src/schema/documents.hpp
+++ b/src/schema/documents.hpp
@@ -109,6 +109,9 @@
     std::uint32_t port{0};
     //! Administrative state: live or leaving.
     instance_state state{instance_state::live};
+    //! When its process started, in ms since the epoch; tells apart starts
+    //! under one id. 0 if unknown.
+    std::uint64_t started_at_ms{0};
 
     bool operator==(const instance&) const = default;
 };
