Do not take a response that ends within its head for a complete one

An operator's report: a target stopped in the middle of its answer's head and closed; clients got a 200 with an empty body. It cannot happen on the users' platform, whose client parses strictly, but does on the product's own interface: libcurl reports success when the connection ends within the head, without headers and body. Change: a response counts only if the blank line after its headers was read.

--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -36,6 +36,8 @@
     //! How often libcurl has been about to send the request.
     unsigned sends{0};
     bool too_large{false};
+    //! The blank line after the headers of the last response was read.
+    bool head_complete{false};
     class curl_client* owner{nullptr};
 };
 
@@ -241,7 +243,9 @@
     {
         if (code == CURLE_OK)
         {
-            return transfer_outcome::answered;
+            // libcurl reports success if the connection ends within the head.
+            return item.head_complete ? transfer_outcome::answered
+                                      : transfer_outcome::broken;
         }
         if (item.too_large)
         {
@@ -436,8 +440,10 @@
         if (line.starts_with("HTTP/"))
         {
             item.received.headers.clear();
+            item.head_complete = false;
             return line.size();
         }
+        item.head_complete |= line == "\r\n" || line == "\n";
         const auto colon = line.find(':');
         if (colon == std::string_view::npos)
         {
--- a/src/http/tests/pooled_client_test.cpp
+++ b/src/http/tests/pooled_client_test.cpp
@@ -1,109 +1,13 @@
+#include "http/tests/raw_server.hpp"
 #include "http/tests/running_client.hpp"
 
-#include <asio/ip/tcp.hpp>
-#include <asio/read_until.hpp>
-#include <asio/streambuf.hpp>
-#include <asio/write.hpp>
-
 #include <doctest/doctest.h>
 
-#include <thread>
-#include <utility>
-
 using namespace bilberrytally;
 using asio::ip::tcp;
+using http::answer;
+using http::raw_server;
 using http::running_client;
-
-namespace
-{
-//! What the server sends after it has read the headers of a request.
-struct server_step
-{
-    std::string bytes;
-    //! Close the connection after the bytes.
-    bool close{false};
-    //! Close it with linger 0, which resets it.
-    bool reset{false};
-};
-
-using connection_script = std::vector<server_step>;
-
-//! A server that handles connections one after the other and responds to each
-//! request with the next step of its script.
-class raw_server
-{
-public:
-    explicit raw_server(std::vector<connection_script> scripts)
-        : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0}),
-          worker(
-              [this, scripts = std::move(scripts)]
-              {
-                  for (const auto& script : scripts)
-                  {
-                      this->serve(script);
-                  }
-              })
-    {
-    }
-
-    ~raw_server()
-    {
-        this->worker.join();
-    }
-
-    raw_server(const raw_server&) = delete;
-    raw_server& operator=(const raw_server&) = delete;
-
-    std::uint32_t port() const
-    {
-        return this->acceptor.local_endpoint().port();
-    }
-
-private:
-    void serve(const connection_script& script)
-    {
-        tcp::socket socket(this->context);
-        this->acceptor.accept(socket);
-        asio::streambuf buffer;
-        std::error_code error;
-        for (const auto& step : script)
-        {
-            const auto length =
-                asio::read_until(socket, buffer, "\r\n\r\n", error);
-            if (error)
-            {
-                return;
-            }
-            buffer.consume(length);
-            asio::write(socket, asio::buffer(step.bytes), error);
-            if (step.reset)
-            {
-                socket.set_option(asio::socket_base::linger(true, 0));
-                // The destructor would not reset the connection.
-                socket.close();
-            }
-            if (step.close || step.reset)
-            {
-                return;
-            }
-        }
-        // Waits until the client closes the connection.
-        asio::read_until(socket, buffer, "\r\n\r\n", error);
-    }
-
-    asio::io_context context;
-    tcp::acceptor acceptor;
-    std::thread worker;
-};
-
-std::string answer(const std::string& id, const std::string& body)
-{
-    return "HTTP/1.1 200 OK\r\nid: " + id +
-           "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
-}
-} // namespace
-
 using http::transfer_outcome;
 
 TEST_CASE("a connection is used again for the next request")
--- a/src/http/tests/running_client.hpp
+++ b/src/http/tests/running_client.hpp
@@ -17,9 +17,15 @@
 class running_client
 {
 public:
-    explicit running_client(const client_limits& limits = {})
+    //! Makes a client, for example http_client::make_pooled.
+    using factory = std::unique_ptr<http_client> (*)(
+        asio::io_context&, const client_limits&);
+
+    explicit running_client(
+        const client_limits& limits = {},
+        factory make = http_client::make_pooled)
         : work(asio::make_work_guard(this->context)),
-          client(http_client::make_pooled(this->context, limits)),
+          client(make(this->context, limits)),
           worker([this] { this->context.run(); })
     {
     }
