Take a refusal only from a response that can belong to no other request

An operator's report: a faulty target wrote an earlier refusal once more on a kept connection; clients were told that their request had not run while it ran, or it ran at a second target. Both can happen here, in two ways: a refusal without an id was taken for one of the current request, and so was a second copy of the refusal of the same id, when a request was sent to the target again on the same connection. Change: a response without an id on a connection that has carried other requests ends it (may have run); a refusal counts only with the id of the request; a request is not sent on a connection that carried one of its id among the last 16. Tests: faulty_server_test; both cases failed before (outcome answered, and the second copy taken for the response).

--- a/src/http/internal/pooled_client.cpp
+++ b/src/http/internal/pooled_client.cpp
@@ -113,7 +113,7 @@
             on_done({});
             return;
         }
-        auto pooled = this->take_idle(endpoint, now);
+        auto pooled = this->take_idle(endpoint, request.response_id.value, now);
         const bool is_new = !pooled;
         auto connection = is_new ? this->make_connection() : std::move(pooled);
         this->transfers.emplace(
@@ -150,23 +150,29 @@
         return connection;
     }
 
-    connection_ptr
-    take_idle(const asio::ip::tcp::endpoint& endpoint, base::time_ms now)
+    //! Takes the connection used most recently, so that surplus ones expire.
+    //! Passes over connections that have carried a request with this id.
+    connection_ptr take_idle(
+        const asio::ip::tcp::endpoint& endpoint, const std::string& request_id,
+        base::time_ms now)
     {
-        while (!this->idle.empty())
+        for (auto item = this->idle.end(); item != this->idle.begin();)
         {
-            // Takes the connection used most recently, so that surplus ones
-            // expire and are closed.
-            auto item = std::move(this->idle.back());
-            this->idle.pop_back();
-            const bool usable = item.endpoint == endpoint &&
-                                now - item.since < reuse_limit(item);
+            --item;
+            const bool usable = item->endpoint == endpoint &&
+                                now - item->since < reuse_limit(*item);
+            if (usable && item->connection->has_carried(request_id))
+            {
+                continue;
+            }
+            auto connection = std::move(item->connection);
+            item = this->idle.erase(item);
             if (usable)
             {
-                return std::move(item.connection);
+                return connection;
             }
-            this->remove_number(item.connection);
-            item.connection->close(transfer_outcome::cancelled);
+            this->remove_number(connection);
+            connection->close(transfer_outcome::cancelled);
         }
         return nullptr;
     }
--- a/src/http/internal/pooled_connection.cpp
+++ b/src/http/internal/pooled_connection.cpp
@@ -3,6 +3,7 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -20,6 +21,8 @@
 //! While all responses together exceed max_held_bytes, those that hold less
 //! than this fraction (1/n) of it go on.
 constexpr std::uint64_t undisturbed_share_divisor = 16;
+//! Number of requests whose ids a connection remembers.
+constexpr std::size_t max_carried_ids = 16;
 
 //! Parses the timeout (in seconds) of a Keep-Alive header.
 std::optional<base::duration_ms> parse_keep_alive(std::string_view value)
@@ -129,6 +132,11 @@
     this->on_done = std::move(on_done);
     this->outgoing = serialize_request(request);
     this->expected_id = request.response_id;
+    this->carried_ids.push_back(request.response_id.value);
+    if (this->carried_ids.size() > max_carried_ids)
+    {
+        this->carried_ids.pop_front();
+    }
     this->head_request = request.content.method == "HEAD";
     this->may_have_sent = false;
     this->received_bytes = 0;
@@ -250,6 +258,11 @@
 {
     const bool keep_alive = this->parser.keeps_connection();
     auto received = this->parser.take();
+    if (this->is_of_unknown_request(received))
+    {
+        this->close(transfer_outcome::broken);
+        return;
+    }
     if (this->is_for_other_request(received))
     {
         // A late second response to an earlier request; the response to the
@@ -283,6 +296,19 @@
     return !id.empty() && id != this->expected_id.value;
 }
 
+bool pooled_connection::is_of_unknown_request(const response& received) const
+{
+    return this->carried_ids.size() > 1 && !this->expected_id.value.empty() &&
+           find_header(received.headers, this->expected_id.name).empty();
+}
+
+bool pooled_connection::has_carried(const std::string& id) const
+{
+    return !id.empty() &&
+           std::find(this->carried_ids.begin(), this->carried_ids.end(), id) !=
+               this->carried_ids.end();
+}
+
 void pooled_connection::finish(
     transfer_outcome outcome, response received, bool reusable)
 {
--- a/src/http/internal/pooled_connection.hpp
+++ b/src/http/internal/pooled_connection.hpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -50,6 +51,10 @@
     //! unsent if no byte of it was sent.
     void close(transfer_outcome outcome);
 
+    //! True if a recent request on this connection had this id. A server that
+    //! repeats its response to that request would answer the new one by it.
+    bool has_carried(const std::string& id) const;
+
     //! True while the connection is being established.
     bool is_connecting() const;
 
@@ -70,6 +75,9 @@
     void update_held_bytes(std::uint64_t body_bytes);
     //! True if the response carries the id of another request.
     bool is_for_other_request(const response& received) const;
+    //! True if the response carries no id, though an earlier request on this
+    //! connection may have caused it.
+    bool is_of_unknown_request(const response& received) const;
     void finish(transfer_outcome outcome, response received, bool reusable);
 
     static constexpr std::size_t read_buffer_bytes = 4U << 10U;
@@ -86,6 +94,8 @@
     end_handler on_done;
     std::string outgoing;
     schema::header expected_id;
+    //! Ids of the last requests, the current one included; the latest is last.
+    std::deque<std::string> carried_ids;
     bool head_request{false};
     bool connecting{false};
     bool connected{false};
--- a/src/http/tests/raw_server.hpp
+++ b/src/http/tests/raw_server.hpp
@@ -25,27 +25,25 @@
 
 using connection_script = std::vector<server_step>;
 
-//! A server that handles connections one after the other and responds to each
-//! request with the next step of its script.
+//! A server that responds to each request with the next step of its
+//! connection's script. It expects as many connections as there are scripts.
 class raw_server
 {
 public:
     explicit raw_server(std::vector<connection_script> scripts)
         : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0}),
-          worker(
-              [this, scripts = std::move(scripts)]
-              {
-                  for (const auto& script : scripts)
-                  {
-                      this->serve(script);
-                  }
-              })
+          acceptor_thread([this, scripts = std::move(scripts)]
+                          { this->accept_all(scripts); })
     {
     }
 
     ~raw_server()
     {
-        this->worker.join();
+        this->acceptor_thread.join();
+        for (auto& worker : this->workers)
+        {
+            worker.join();
+        }
     }
 
     raw_server(const raw_server&) = delete;
@@ -57,10 +55,19 @@
     }
 
 private:
-    void serve(const connection_script& script)
+    void accept_all(const std::vector<connection_script>& scripts)
+    {
+        for (const auto& script : scripts)
+        {
+            asio::ip::tcp::socket socket(this->context);
+            this->acceptor.accept(socket);
+            this->workers.emplace_back(serve, std::move(socket), script);
+        }
+    }
+
+    static void
+    serve(asio::ip::tcp::socket socket, const connection_script& script)
     {
-        asio::ip::tcp::socket socket(this->context);
-        this->acceptor.accept(socket);
         asio::streambuf buffer;
         std::error_code error;
         for (const auto& step : script)
@@ -90,7 +97,8 @@
 
     asio::io_context context;
     asio::ip::tcp::acceptor acceptor;
-    std::thread worker;
+    std::vector<std::thread> workers;
+    std::thread acceptor_thread;
 };
 
 //! A complete response with an id and a body.
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -24,23 +24,25 @@
 constexpr base::duration_ms baseline_timeout{60000};
 
 //! Reads the HTTP response of a backend server whose platform publishes it in a
-//! store. A response counts as \c ran only if it belongs to this request, is
-//! not encoded, has the backend server's signature in case of success, and does
-//! not have a status which means that the request did not run.
+//! store. A response counts only if it belongs to this request, as \c ran only
+//! if it is not encoded, has the backend server's signature in case of success,
+//! and does not have a status which means that the request did not run.
 schema::answer read_platform_answer(
     http::response& received, const schema::call& call,
     const directory::header_names& platform_headers)
 {
     using base::verdict;
-    if (!http::find_header(received.headers, platform_headers.not_executed)
+    const bool matches_request =
+        http::find_header(received.headers, platform_headers.attempt_id) ==
+        http::find_header(call.headers, platform_headers.attempt_id);
+    const bool refused =
+        !http::find_header(received.headers, platform_headers.not_executed)
              .empty() ||
-        received.status == misdirected_status)
+        received.status == misdirected_status;
+    if (matches_request && refused)
     {
         return make_refusal(verdict::not_run, refusal::shed_by_backend);
     }
-    const bool matches_request =
-        http::find_header(received.headers, platform_headers.attempt_id) ==
-        http::find_header(call.headers, platform_headers.attempt_id);
     const bool success = received.status >= first_success_status &&
                          received.status < first_redirect_status;
     const bool signed_by_backend =
