Split target_side and node: nested calls, views, dispatch of frames

What links nested calls to their parents and what operators see become files of their own; frame_dispatcher takes the frames of other nodes. Moved unchanged, but for one check: frames about documents that arrive before the gossip part is made are rejected instead of dereferencing a null pointer.

--- /dev/null
+++ b/src/node/internal/frame_dispatcher.cpp
@@ -0,0 +1,173 @@
+#include "node/internal/frame_dispatcher.hpp"
+
+#include "node/internal/caller_side.hpp"
+#include "node/internal/directory_follower.hpp"
+#include "node/internal/document_gossip.hpp"
+#include "node/internal/event_loop_monitor.hpp"
+#include "node/internal/target_side.hpp"
+#include "transport/message_codec.hpp"
+
+#include <utility>
+
+namespace bilberrytally::node
+{
+frame_dispatcher::frame_dispatcher(
+    node_tables& tables, event_loop_monitor& loop_monitor,
+    target_side& inbound_calls, caller_side& outbound_calls)
+    : tables(tables), loop_monitor(loop_monitor), inbound_calls(inbound_calls),
+      outbound_calls(outbound_calls)
+{
+}
+
+void frame_dispatcher::set_gossip(document_gossip& gossip)
+{
+    this->gossip = &gossip;
+}
+
+void frame_dispatcher::set_directory(directory_follower& directory)
+{
+    this->directory = &directory;
+}
+
+void frame_dispatcher::on_peer_availability(const schema::hello& peer)
+{
+    const auto now = base::now();
+    this->tables.routing.with(
+        [&](routing_table& table)
+        {
+            for (auto& [service, service_targets] : table.services)
+            {
+                service_targets.on_node_state(
+                    peer.host, peer.port, peer.draining, now);
+            }
+        });
+    this->tables.record_event({0, "link_up", 0, 0, peer.instance, ""});
+}
+
+template <class Message, class Function>
+void frame_dispatcher::decode_and_handle(
+    const transport::frame& frame, Function&& function)
+{
+    auto message = transport::decode<Message>(frame.body);
+    if (!message)
+    {
+        this->tables.record_event(
+            {0, "frame_rejected", 0, 0, "", "reason=malformed"});
+        return;
+    }
+    function(std::move(*message));
+}
+
+void frame_dispatcher::on_frame(transport::link_id link, transport::frame frame)
+{
+    using transport::frame_kind;
+    this->tables.events.observe(frame.logical_time);
+    this->loop_monitor.on_frame(frame.delay);
+    switch (frame.kind)
+    {
+    case frame_kind::call:
+        this->decode_and_handle<schema::call>(
+            frame, [&](schema::call call)
+            { this->on_call(link, std::move(call), frame.delay); });
+        return;
+    case frame_kind::answer:
+        this->decode_and_handle<schema::answer>(
+            frame, [&](schema::answer answer)
+            { this->outbound_calls.on_answer(link, std::move(answer)); });
+        return;
+    case frame_kind::cancel:
+        this->decode_and_handle<schema::cancel>(
+            frame,
+            [&](const auto& cancel)
+            {
+                this->inbound_calls.on_cancel(link, cancel.id);
+                this->outbound_calls.on_home_cancel(link, cancel.id);
+            });
+        return;
+    case frame_kind::crash_report:
+        this->decode_and_handle<schema::crash_report>(
+            frame, [&](const auto& report)
+            { this->inbound_calls.on_crash_report(report); });
+        return;
+    case frame_kind::availability_notice:
+        this->decode_and_handle<schema::hello>(
+            frame, [&](const auto& peer) { this->on_peer_availability(peer); });
+        return;
+    default:
+        this->on_gossip_frame(link, frame);
+    }
+}
+
+void frame_dispatcher::on_gossip_frame(
+    transport::link_id link, const transport::frame& frame)
+{
+    using transport::frame_kind;
+    if (frame.kind == frame_kind::item_query && this->directory != nullptr)
+    {
+        this->decode_and_handle<schema::item_query>(
+            frame,
+            [&](const auto& query) { this->directory->on_query(link, query); });
+    }
+    else if (frame.kind == frame_kind::item_list && this->directory != nullptr)
+    {
+        this->decode_and_handle<schema::item_list>(
+            frame, [&](const auto& list) { this->directory->on_items(list); });
+    }
+    else if (frame.kind == frame_kind::document && this->gossip != nullptr)
+    {
+        this->decode_and_handle<schema::document>(
+            frame,
+            [&](const auto& document) {
+                this->gossip->on_document(document.text, document_source::peer);
+            });
+    }
+    else if (
+        frame.kind == frame_kind::bucket_summary && this->gossip != nullptr)
+    {
+        this->decode_and_handle<schema::summary>(
+            frame, [&](const auto& summary)
+            { this->gossip->on_summary(link, summary); });
+    }
+    else if (frame.kind == frame_kind::bucket_ids && this->gossip != nullptr)
+    {
+        this->decode_and_handle<schema::bucket_ids>(
+            frame,
+            [&](const auto& ids) { this->gossip->on_bucket_ids(link, ids); });
+    }
+    else
+    {
+        this->tables.record_event(
+            {0, "frame_rejected", 0, 0, "", "reason=kind"});
+    }
+}
+
+void frame_dispatcher::on_call(
+    transport::link_id link, schema::call call, base::duration_ms delay)
+{
+    if (call.home)
+    {
+        this->outbound_calls.on_home_call(link, std::move(call), delay);
+        return;
+    }
+    this->inbound_calls.on_call(link, std::move(call), delay);
+}
+
+void frame_dispatcher::on_datagram(const transport::frame& frame)
+{
+    this->tables.events.observe(frame.logical_time);
+    if (frame.kind == transport::frame_kind::directory_digest &&
+        this->directory != nullptr)
+    {
+        this->decode_and_handle<schema::directory_digest>(
+            frame,
+            [&](const auto& digest) { this->directory->on_digest(digest); });
+    }
+    if (frame.kind == transport::frame_kind::gossip_digest &&
+        this->gossip != nullptr)
+    {
+        this->decode_and_handle<schema::document_digest>(
+            frame,
+            [&](const auto& digest) { this->gossip->on_digest(digest); });
+    }
+}
+} // namespace bilberrytally::node
