Treat a target as full whose node handles calls late

Calls stay in their zone until the answer is expected later than half of their latency objective. A nested call's objective is longer than the time that its chain has, and a chain passes a node a dozen times, so that all are late before any leaves. Change: load reports carry how long frames wait at the node (event_loop_monitor); from 10 ms on the target counts as full, for hedged attempts, too.

--- a/src/decisions/internal/target_choice.cpp
+++ b/src/decisions/internal/target_choice.cpp
@@ -45,6 +45,9 @@
 constexpr double saturated_zone_preference = 1.5;
 //! Age up to which a load report counts as recent.
 constexpr base::duration_ms report_lifetime{2000};
+//! A node whose input waits for at least this long has no processor time left.
+//! A chain passes the same nodes many times, so its delays add up.
+constexpr std::uint32_t busy_node_delay_ms = 10;
 //! A target with at least this share of its slots in use gets no second
 //! attempts of slow calls.
 constexpr double spare_load_share = 0.6;
@@ -127,6 +130,7 @@
             const bool has_spare_slots =
                 !recent || used < spare_load_share * candidate.reported_limit;
             return excluded.count(id) == 0 && has_spare_slots &&
+                   !is_node_busy(candidate, now) &&
                    this->state_of(candidate, now) == target_state::available;
         });
 }
@@ -178,6 +182,10 @@
 bool target_table::is_saturated(
     const target& candidate, std::uint32_t shed_class, base::time_ms now) const
 {
+    if (is_node_busy(candidate, now))
+    {
+        return true;
+    }
     if (candidate.floor_until > now)
     {
         // Calls that it does not shed start before those that wait.
@@ -189,6 +197,12 @@
                saturation_ratio * candidate.reported_limit;
 }
 
+bool target_table::is_node_busy(const target& candidate, base::time_ms now)
+{
+    return now - candidate.reported_at < report_lifetime &&
+           candidate.reported_input_delay_ms >= busy_node_delay_ms;
+}
+
 std::vector<target_table::target*> target_table::candidates(
     const std::set<std::string>& excluded, const call_profile& profile,
     std::mt19937_64& random, base::time_ms now)
--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -155,6 +155,7 @@
     {
         target.reported_in_flight = result.load.in_flight;
         target.reported_limit = result.load.limit;
+        target.reported_input_delay_ms = result.load.input_delay_ms;
         target.reported_at = now;
         target.draining = result.load.draining;
         target.drain_reported_at = now;
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -192,6 +192,8 @@
         //! Running and waiting calls of all callers, as the target reported.
         std::uint32_t reported_in_flight{0};
         std::uint32_t reported_limit{0};
+        //! Time in ms that calls wait before the target's node handles them.
+        std::uint32_t reported_input_delay_ms{0};
         base::time_ms reported_at{INT64_MIN / 2};
         std::uint32_t failures{0};
         //! Since when calls are in flight without any answer.
@@ -228,7 +230,8 @@
         const target& candidate, const call_profile& profile,
         base::time_ms now) const;
     //! True if the target has no room for a call of this class: it sheds the
-    //! class, or more calls wait than it can start soon.
+    //! class, its node handles calls late, or more calls wait than it can start
+    //! soon.
     bool is_saturated(
         const target& candidate, std::uint32_t shed_class,
         base::time_ms now) const;
@@ -237,6 +240,8 @@
     std::vector<target*> candidates(
         const std::set<std::string>& excluded, const call_profile& profile,
         std::mt19937_64& random, base::time_ms now);
+    //! True if the node of the target recently reported that calls wait for it.
+    static bool is_node_busy(const target& candidate, base::time_ms now);
     //! True if the call is sent to one of the targets of the local zone.
     bool stays_local(
         const std::vector<target*>& local, const std::vector<target*>& all,
--- a/src/node/internal/event_loop_monitor.cpp
+++ b/src/node/internal/event_loop_monitor.cpp
@@ -10,6 +10,11 @@
 constexpr base::duration_ms period{1000};
 constexpr double percent = 100;
 constexpr std::int64_t ms_per_s = 1000;
+//! Weight of a frame in the moving average, and the longest delay that counts:
+//! that of frames which waited while the process was suspended says nothing
+//! about its load.
+constexpr double frame_delay_weight = 0.02;
+constexpr base::duration_ms max_frame_delay{200};
 } // namespace
 
 event_loop_monitor::event_loop_monitor(
@@ -22,6 +27,16 @@
 {
     ++this->frames;
     this->total_frame_delay_ms += delay.count;
+    const auto sample =
+        static_cast<double>(std::min(delay, max_frame_delay).count);
+    const double average = this->recent_frame_delay_ms;
+    this->recent_frame_delay_ms =
+        average + frame_delay_weight * (sample - average);
+}
+
+double event_loop_monitor::frame_delay_ms() const
+{
+    return this->recent_frame_delay_ms;
 }
 
 std::optional<event_loop_report>
--- a/src/node/internal/event_loop_monitor.hpp
+++ b/src/node/internal/event_loop_monitor.hpp
@@ -38,6 +38,9 @@
     //! thread.
     void on_frame(base::duration_ms delay);
 
+    //! Moving average of the recent delays of frames, in ms.
+    double frame_delay_ms() const;
+
     //! Records a tick. \p processor_time is the time used by the process so
     //! far. Returns a report at the end of each period of a second.
     std::optional<event_loop_report>
@@ -53,6 +56,7 @@
     base::duration_ms total_delay;
     base::duration_ms longest_delay;
     std::int64_t ticks{0};
+    std::atomic<double> recent_frame_delay_ms{0};
     std::atomic<std::int64_t> frames{0};
     std::atomic<std::int64_t> total_frame_delay_ms{0};
 };
--- a/src/node/internal/frame_dispatcher.cpp
+++ b/src/node/internal/frame_dispatcher.cpp
@@ -3,7 +3,6 @@
 #include "node/internal/caller_side.hpp"
 #include "node/internal/directory_follower.hpp"
 #include "node/internal/document_gossip.hpp"
-#include "node/internal/event_loop_monitor.hpp"
 #include "node/internal/target_side.hpp"
 #include "transport/message_codec.hpp"
 
@@ -12,9 +11,9 @@
 namespace bilberrytally::node
 {
 frame_dispatcher::frame_dispatcher(
-    node_tables& tables, event_loop_monitor& loop_monitor,
-    target_side& inbound_calls, caller_side& outbound_calls)
-    : tables(tables), loop_monitor(loop_monitor), inbound_calls(inbound_calls),
+    node_tables& tables, target_side& inbound_calls,
+    caller_side& outbound_calls)
+    : tables(tables), inbound_calls(inbound_calls),
       outbound_calls(outbound_calls)
 {
 }
@@ -62,7 +61,7 @@
 {
     using transport::frame_kind;
     this->tables.events.observe(frame.logical_time);
-    this->loop_monitor.on_frame(frame.delay);
+    this->tables.event_loop.on_frame(frame.delay);
     switch (frame.kind)
     {
     case frame_kind::call:
--- a/src/node/internal/frame_dispatcher.hpp
+++ b/src/node/internal/frame_dispatcher.hpp
@@ -10,7 +10,6 @@
 class caller_side;
 class directory_follower;
 class document_gossip;
-class event_loop_monitor;
 class target_side;
 
 //! Decodes the frames of other nodes and hands them to the part of this node
@@ -19,8 +18,8 @@
 {
 public:
     frame_dispatcher(
-        node_tables& tables, event_loop_monitor& loop_monitor,
-        target_side& inbound_calls, caller_side& outbound_calls);
+        node_tables& tables, target_side& inbound_calls,
+        caller_side& outbound_calls);
 
     //! Sets the parts that are made after this one; frames for them are
     //! rejected until then.
@@ -43,7 +42,6 @@
         transport::link_id link, schema::call call, base::duration_ms delay);
 
     node_tables& tables;
-    event_loop_monitor& loop_monitor;
     target_side& inbound_calls;
     caller_side& outbound_calls;
     document_gossip* gossip{nullptr};
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -30,7 +30,6 @@
 {
 namespace
 {
-constexpr std::chrono::milliseconds tick_interval{10};
 constexpr base::duration_ms liveness_check_interval{100};
 constexpr base::duration_ms reconnect_interval{200};
 constexpr base::duration_ms settings_check_interval{1000};
@@ -400,7 +399,8 @@
         {
             this->check_drained(now);
         }
-        this->timer.expires_after(tick_interval);
+        this->timer.expires_after(
+            std::chrono::milliseconds(tick_interval.count));
         this->timer.async_wait(
             [this](std::error_code error)
             {
@@ -413,7 +413,8 @@
 
     void check_event_loop(base::time_ms now)
     {
-        const auto report = this->loop_monitor.on_tick(now, process_cpu_time());
+        const auto report =
+            this->tables.event_loop.on_tick(now, process_cpu_time());
         if (!report)
         {
             return;
@@ -495,11 +496,8 @@
     std::unique_ptr<http::http_server> ready_server;
     asio::signal_set signals;
     asio::steady_timer timer;
-    event_loop_monitor loop_monitor{
-        base::duration_ms{tick_interval.count()}, base::now()};
     frame_dispatcher frames{
-        this->tables, this->loop_monitor, this->inbound_calls,
-        this->outbound_calls};
+        this->tables, this->inbound_calls, this->outbound_calls};
     bool signals_added{false};
     std::atomic<bool> stopping{false};
     //! Set before \c stopping, by the thread that handles the signal.
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -23,7 +23,8 @@
     std::uint64_t incarnation)
     : context(context), settings(std::move(settings)), incarnation(incarnation),
       variant(decisions::make_policy_variant(this->settings.policy.variant)),
-      suspensions(base::now()), events(this->settings.node.timeline_events),
+      suspensions(base::now()), event_loop(tick_interval, base::now()),
+      events(this->settings.node.timeline_events),
       keys(max_key_records, key_lifetime)
 {
     this->routing.with([&](routing_table& table)
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -12,6 +12,7 @@
 #include "decisions/target_table.hpp"
 #include "directory/header_names.hpp"
 #include "directory/route_map.hpp"
+#include "node/internal/event_loop_monitor.hpp"
 #include "node/internal/metrics.hpp"
 #include "node/internal/suspension_detector.hpp"
 #include "schema/settings.hpp"
@@ -55,6 +56,9 @@
 constexpr int inbound_calls_rank = 30;
 constexpr int routing_rank = 40;
 
+//! Interval of the node's repeating work.
+constexpr base::duration_ms tick_interval{10};
+
 //! State that the parts of a node share.
 struct node_tables
 {
@@ -96,6 +100,7 @@
     //! metadata store publishes routes and targets.
     std::optional<directory::header_names> platform_headers;
     suspension_detector suspensions;
+    event_loop_monitor event_loop;
     metrics node_metrics;
     timeline::timeline events;
     std::atomic<bool> draining{false};
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -313,6 +313,8 @@
             }
             last_report = now;
             answer.load = table.admission.report(now);
+            answer.load.input_delay_ms = static_cast<std::uint32_t>(
+                this->tables.event_loop.frame_delay_ms());
             answer.load.draining = this->is_draining(call.message);
         });
     this->network->send(
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -70,6 +70,9 @@
     bool valid{false};
     //! Recent waiting time in the admission queue, ms.
     std::uint32_t queue_delay_ms{0};
+    //! Recent time that frames wait before the node of the target handles them,
+    //! ms.
+    std::uint32_t input_delay_ms{0};
     //! Calls in flight at the backend server.
     std::uint32_t in_flight{0};
     //! Current concurrency limit of the backend server, in calls.
@@ -86,8 +89,8 @@
     void serialize(Archive& archive)
     {
         archive(
-            this->valid, this->queue_delay_ms, this->in_flight, this->limit,
-            this->floor, this->draining);
+            this->valid, this->queue_delay_ms, this->input_delay_ms,
+            this->in_flight, this->limit, this->floor, this->draining);
     }
 };
 //! First message in each direction of a connection between nodes.
