Let the reported frame delay fall where no frames follow

The moving average counted by frames only: after a suspension, whose frames are late by seconds, a node with ten frames a second would have counted as busy for some ten seconds, and got few calls for it. Change: the average falls by 3 % at each tick of 10 ms, too.

--- a/src/node/internal/event_loop_monitor.cpp
+++ b/src/node/internal/event_loop_monitor.cpp
@@ -15,6 +15,9 @@
 //! about its load.
 constexpr double frame_delay_weight = 0.02;
 constexpr base::duration_ms max_frame_delay{200};
+//! Factor of the moving average at each tick, so that a burst of late frames is
+//! forgotten where few frames follow.
+constexpr double decay_per_tick = 0.97;
 } // namespace
 
 event_loop_monitor::event_loop_monitor(
@@ -45,6 +48,7 @@
     const auto delay =
         std::max(now - this->last_tick - this->interval, base::duration_ms{0});
     this->last_tick = now;
+    this->recent_frame_delay_ms = decay_per_tick * this->recent_frame_delay_ms;
     this->total_delay = this->total_delay + delay;
     this->longest_delay = std::max(this->longest_delay, delay);
     ++this->ticks;
--- a/src/node/internal/event_loop_monitor.hpp
+++ b/src/node/internal/event_loop_monitor.hpp
@@ -38,7 +38,8 @@
     //! thread.
     void on_frame(base::duration_ms delay);
 
-    //! Moving average of the recent delays of frames, in ms.
+    //! Moving average of the recent delays of frames, in ms; falls to 0 without
+    //! frames.
     double frame_delay_ms() const;
 
     //! Records a tick. \p processor_time is the time used by the process so
--- a/src/node/tests/node_test.cpp
+++ b/src/node/tests/node_test.cpp
@@ -89,6 +89,36 @@
     CHECK(calm->processor_percent == doctest::Approx(0));
 }
 
+TEST_CASE("late frames raise the frame delay, which falls where none follow")
+{
+    event_loop_monitor monitor({10}, {0});
+    for (int i = 0; i < 500; ++i)
+    {
+        monitor.on_frame({50});
+    }
+    CHECK(monitor.frame_delay_ms() == doctest::Approx(50).epsilon(0.01));
+    for (std::int64_t now = 10; now <= 1000; now += 10)
+    {
+        monitor.on_tick({now}, {0});
+    }
+    CHECK(monitor.frame_delay_ms() < 5);
+}
+
+TEST_CASE("late frames of a suspension are forgotten within two seconds")
+{
+    event_loop_monitor monitor({10}, {0});
+    for (int i = 0; i < 300; ++i)
+    {
+        monitor.on_frame({5000});
+    }
+    for (std::int64_t now = 10; now <= 2000; now += 10)
+    {
+        monitor.on_frame({0});
+        monitor.on_tick({now}, {0});
+    }
+    CHECK(monitor.frame_delay_ms() < 1);
+}
+
 TEST_CASE("errors in the configuration service's responses name the field")
 {
     const auto text_of = [](const std::string& body)
