--- a/src/transport/internal/frame_buffer.cpp
+++ b/src/transport/internal/frame_buffer.cpp
@@ -23,7 +23,7 @@
     {
         return std::span(this->large->body).subspan(this->large_received);
     }
-    // Allocated here, so that connections without traffic hold no buffer.
+    // Allocated here, so that a connection that never opens holds no buffer.
     this->bytes.resize(buffer_bytes);
     return std::span(this->bytes).subspan(this->end);
 }
