--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,4 +1,4 @@
-"""The store's open connections go silent; a configuration that comes 3.5 s later is in force in time?"""
+"""The store's open connections go silent; a configuration that comes 3.2 s later is in force in time?"""
 import asyncio
 import pathlib
 import sys
@@ -8,7 +8,7 @@
 import standins  # noqa: E402
 
 ROUNDS = 10
-AFTER_SILENCE_S = 3.5  # over contact-s: the machines are in touch again
+AFTER_SILENCE_S = 3.2  # over contact-s: the machines are in touch again
 APPLY_S = 2.0  # config-apply-s
 WATCHED_S = 3.0  # time for which requests are judged, after APPLY_S
 EVERY_S = 0.05  # a request
@@ -48,7 +48,7 @@
     for _ in range(ROUNDS):
         number += 1
         await site.configure(routes(number))  # in force everywhere at once; nothing is wrong yet
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(0.3)
         if standins.trouble():
             site.store.silence()
         await asyncio.sleep(AFTER_SILENCE_S)
--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -433,6 +434,7 @@
     async def close(self):
         for machine in self.machines:
             await machine.end()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(prefix, service, kind="idempotent", timeout=5, aim=1.5, attempts=2, priority=2):
