Refuse calls that a stopping node cannot finish

Cause: the drain knew when the process ends, but only the target's side refused calls; requests over open connections were taken at any time. Change: once the port is closed, a call is taken only if its deadline comes first. Nested calls get a shortened deadline, waiting calls go back to their callers, retries stop, and an operator cannot revoke a stop. Ruled out: an earlier exit (the node is never idle under such load, it would cut as many).

--- a/src/decisions/drain_schedule.hpp
+++ b/src/decisions/drain_schedule.hpp
@@ -32,7 +32,8 @@
 
 //! Course of a planned stop: a node serves until other nodes and callers have
 //! seen that it leaves, then closes its port, and exits once no request has
-//! come for a while.
+//! come for a while. After the port is closed, requests still come over open
+//! connections; only those that surely end before the process does are taken.
 class drain_schedule
 {
 public:
@@ -43,6 +44,10 @@
     //! written.
     drain_step on_tick(bool idle, base::time_ms now);
 
+    //! Latest deadline of the calls that are still taken once the port is
+    //! closed. Later ones might still run when the process ends.
+    base::time_ms latest_deadline() const;
+
 private:
     drain_limits limits;
     base::time_ms requested;
--- a/src/decisions/internal/drain_schedule.cpp
+++ b/src/decisions/internal/drain_schedule.cpp
@@ -14,6 +14,9 @@
 constexpr base::duration_ms idle_close_limit{3500};
 //! Time that the process needs to exit before it is killed.
 constexpr base::duration_ms exit_time{500};
+//! Time that the answer to a call that has ended at its deadline needs to reach
+//! the caller.
+constexpr base::duration_ms answer_time{300};
 } // namespace
 
 drain_limits drain_limits::create(
@@ -57,4 +60,9 @@
     return since_stop >= this->limits.limit ? drain_step::abort
                                             : drain_step::serve;
 }
+
+base::time_ms drain_schedule::latest_deadline() const
+{
+    return this->requested + this->limits.limit - answer_time;
+}
 } // namespace bilberrytally::decisions
--- a/src/decisions/tests/drain_schedule_test.cpp
+++ b/src/decisions/tests/drain_schedule_test.cpp
@@ -62,6 +62,17 @@
     CHECK(play(limits, 0).at < 2000);
 }
 
+// Guards against calls that are taken late in a stop and then cut.
+TEST_CASE("a call with the latest deadline is answered before the abort")
+{
+    const auto limits = drain_limits::create({2500}, {600000}, {6000});
+    const drain_schedule schedule(limits, {1000});
+    const auto aborted_at = base::time_ms{1000} + limits.limit;
+    CHECK(schedule.latest_deadline() < aborted_at);
+    CHECK(
+        schedule.latest_deadline() > base::time_ms{1000} + limits.min_serving);
+}
+
 TEST_CASE("without a kill the configured limit holds")
 {
     const auto limits = drain_limits::create({500}, {1000}, {0});
--- a/src/node/internal/admin_api.cpp
+++ b/src/node/internal/admin_api.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint32_t unauthorized = 401;
 constexpr std::uint32_t forbidden = 403;
 constexpr std::uint32_t not_found = 404;
+constexpr std::uint32_t conflict = 409;
 constexpr std::uint32_t bad_request = 400;
 constexpr std::uint64_t default_timeline_rows = 1000;
 constexpr std::uint64_t max_timeline_rows = 20000;
@@ -53,7 +54,7 @@
 admin_api::admin_api(
     node_tables& tables, caller_side& outbound_calls,
     target_side& inbound_calls, document_gossip& gossip,
-    transport::peer_network& network, std::function<void(bool)> set_draining)
+    transport::peer_network& network, std::function<bool(bool)> set_draining)
     : tables(tables), outbound_calls(outbound_calls),
       inbound_calls(inbound_calls), gossip(gossip), network(network),
       set_draining(std::move(set_draining))
@@ -158,7 +159,12 @@
     }
     if (request.method == "POST" && request.target == "/v1/undrain")
     {
-        this->set_draining(false);
+        if (this->set_draining(false))
+        {
+            return make_problem_response(
+                conflict, "the node is stopping",
+                "a planned stop cannot be revoked");
+        }
         return json_response({{"draining", false}});
     }
     const bool partition_requested = request.method == "POST" &&
--- a/src/node/internal/admin_api.hpp
+++ b/src/node/internal/admin_api.hpp
@@ -22,7 +22,7 @@
         node_tables& tables, caller_side& outbound_calls,
         target_side& inbound_calls, document_gossip& gossip,
         transport::peer_network& network,
-        std::function<void(bool)> set_draining);
+        std::function<bool(bool)> set_draining);
 
     void on_request(const http::request& request, const http::respond& respond);
 
@@ -51,6 +51,6 @@
     target_side& inbound_calls;
     document_gossip& gossip;
     transport::peer_network& network;
-    std::function<void(bool)> set_draining;
+    std::function<bool(bool)> set_draining;
 };
 } // namespace bilberrytally::node
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -77,6 +77,11 @@
     }
     auto new_call = this->make_call(connection, request, *policy, route);
     new_call.reply = this->make_http_reply(new_call, std::move(respond));
+    if (!this->take_while_stopping(new_call))
+    {
+        this->refuse_stopping(new_call);
+        return;
+    }
     if (new_call.budget_exhausted)
     {
         this->refuse_budget_exhausted(new_call);
@@ -97,6 +102,33 @@
     this->route_by_key(std::move(new_call));
 }
 
+bool caller_side::take_while_stopping(outbound_call& call) const
+{
+    const auto latest = this->tables.latest_deadline();
+    if (call.deadline <= latest)
+    {
+        return true;
+    }
+    if (call.parent == 0)
+    {
+        return false;
+    }
+    call.deadline = latest;
+    return latest > base::now();
+}
+
+void caller_side::refuse_stopping(const outbound_call& call)
+{
+    this->tables.record_event(
+        {0, "refused_while_stopping", call.message.root, call.id,
+         call.message.service, ""});
+    if (call.parent != 0)
+    {
+        this->targets.return_budget(call.parent, call.budget.left(), 0);
+    }
+    call.reply(make_refusal_without_home(call.message, refusal::draining));
+}
+
 void caller_side::refuse_budget_exhausted(const outbound_call& call)
 {
     this->tables.record_event(
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -101,6 +101,13 @@
         bool abandoned{false};
     };
 
+    //! True if the call can be answered before this process ends. Late in a
+    //! planned stop a call is taken only if its deadline comes first. A nested
+    //! call ends with its parent call here, which does not outlive the process
+    //! either, so that its deadline is shortened instead.
+    bool take_while_stopping(outbound_call& call) const;
+    //! Refuses a call that take_while_stopping() does not take.
+    void refuse_stopping(const outbound_call& call);
     //! Refuses a nested call for which its parent has no retry budget left.
     void refuse_budget_exhausted(const outbound_call& call);
     //! Responds with a newly issued idempotency key.
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -115,6 +115,11 @@
                 reason = refusal::deadline;
                 return;
             }
+            if (now >= this->tables.latest_deadline())
+            {
+                reason = refusal::draining;
+                return;
+            }
             target = this->choose_target(call, reason);
             if (!target)
             {
--- a/src/node/internal/caller_side_keys.cpp
+++ b/src/node/internal/caller_side_keys.cpp
@@ -139,6 +139,11 @@
     };
     call.home = false;
     new_call.message = std::move(call);
+    if (!this->take_while_stopping(new_call))
+    {
+        this->refuse_stopping(new_call);
+        return;
+    }
     const auto& local_node = this->tables.settings.node;
     if (!issued_key::has_issued_prefix(new_call.message.key))
     {
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -59,6 +59,11 @@
     }
     auto new_call = this->make_routed_call(connection, request, choice);
     new_call.reply = this->make_routed_reply(new_call, std::move(respond));
+    if (!this->take_while_stopping(new_call))
+    {
+        this->refuse_stopping(new_call);
+        return;
+    }
     this->start_call(std::move(new_call));
 }
 
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -257,7 +257,7 @@
         this->admin = std::make_unique<admin_api>(
             this->tables, this->outbound_calls, this->inbound_calls,
             *this->gossip, *this->network,
-            [this](bool draining) { this->set_draining(draining); });
+            [this](bool draining) { return this->set_draining(draining); });
         const http::server_settings server{
             admin.address, admin.port, admin_max_body_bytes, max_header_bytes,
             admin_read_timeout};
@@ -271,11 +271,13 @@
         return {};
     }
 
-    void set_draining(bool draining)
+    //! Returns whether the node drains now: a planned stop cannot be revoked.
+    bool set_draining(bool draining)
     {
+        draining |= this->stopping;
         if (this->tables.draining.exchange(draining) == draining)
         {
-            return;
+            return draining;
         }
         const auto& local = this->tables.settings.node;
         this->tables.record_event(
@@ -291,6 +293,7 @@
         this->network->send_to_all(
             transport::frame_kind::availability_notice,
             transport::encode(notice));
+        return draining;
     }
 
     void wait_for_signal()
@@ -451,7 +454,7 @@
         case decisions::drain_step::serve:
             return;
         case decisions::drain_step::close_port:
-            this->caller_server->close();
+            this->close_port();
             return;
         case decisions::drain_step::finish:
             LOG(INFO) << "event=drained";
@@ -463,6 +466,14 @@
         }
     }
 
+    void close_port()
+    {
+        this->caller_server->close();
+        this->tables.latest_deadline_ms =
+            this->stop_schedule->latest_deadline().count;
+        this->inbound_calls.refuse_waiting(schema::refusal::draining);
+    }
+
     void force_stop(const char* cause)
     {
         LOG(WARNING) << "event=cut cause=\"" << cause << "\" calls_as_caller="
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -42,6 +42,11 @@
         });
 }
 
+base::time_ms node_tables::latest_deadline() const
+{
+    return {this->latest_deadline_ms};
+}
+
 std::uint32_t node_tables::shed_class(const schema::call& call) const
 {
     return this->platform_headers
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -91,6 +91,9 @@
     //! Events of kind "answer" are not logged.
     void record_event(timeline::event entry);
 
+    //! Latest deadline of the calls that are still taken.
+    base::time_ms latest_deadline() const;
+
     asio::io_context& context;
     const schema::node_settings settings;
     //! Random number that the process drew at its start.
@@ -104,6 +107,9 @@
     metrics node_metrics;
     timeline::timeline events;
     std::atomic<bool> draining{false};
+    //! Calls with a later deadline are not taken, in ms on the monotonic clock.
+    //! Set late in a planned stop, after which this process answers nothing.
+    std::atomic<std::int64_t> latest_deadline_ms{INT64_MAX};
     //! Set once the id of a nested call has identified its parent call.
     std::atomic<bool> parent_ids_seen{false};
     //! Time of the last failure of an outbound call, in ms on the monotonic
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -391,6 +391,23 @@
     }
 }
 
+void target_side::refuse_waiting(schema::refusal reason)
+{
+    std::vector<std::uint64_t> on_hold;
+    const auto actions = this->inbound.with(
+        [&](inbound_table& table)
+        {
+            on_hold.assign(
+                table.probe_run_queue.begin(), table.probe_run_queue.end());
+            return table.admission.refuse_all(reason);
+        });
+    this->apply(actions);
+    for (const auto id : on_hold)
+    {
+        this->refuse(id, reason);
+    }
+}
+
 void target_side::on_policy(const schema::service_policy& policy)
 {
     this->client->set_connections_per_host(policy.connections);
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -98,6 +98,9 @@
         std::uint64_t inbound_id, std::uint32_t budget,
         std::uint32_t dispatches);
 
+    //! Refuses the calls that wait for a free slot or for a probe run.
+    void refuse_waiting(schema::refusal reason);
+
     void on_crash_report(const schema::crash_report& report);
     void on_policy(const schema::service_policy& policy);
     void tick(base::time_ms now);
--- a/tests/system/test_stops.py
+++ b/tests/system/test_stops.py
@@ -3,11 +3,12 @@
 Guards against calls cut off by a drain, new work sent to a backend server that is leaving,
 and a resumed node that starts calls from before its suspension.
 """
+import http.client
 import signal
 import time
 import unittest
 
-from fleet import Fleet, finish_load, http_call, policy, route, wait_for
+from fleet import HOST, OPERATOR, Fleet, finish_load, http_call, policy, route, wait_for
 
 READ = {"name": "read", "service": "events", "path": "/read?ms=10", "rate": 120,
         "timeout_ms": 3000}
@@ -74,6 +75,48 @@
             self.assertIn('event=cut cause="second signal"', two.log.read_text())
             finish_load(load)
 
+    def test_a_planned_stop_cannot_be_revoked(self):
+        """Guards against a stopping node that an operator made take calls again."""
+        with Fleet({"events": {"targets": 2}}) as fleet:
+            fleet.set_up([POLICY])
+            one = fleet.instances[0]
+            load = fleet.load([{**DOWNLOAD, "rate": 10}], [{"seconds": 0.5, "factor": 1}], 26,
+                              start_only=True)
+            time.sleep(0.6)
+            one.node.send_signal(signal.SIGTERM)
+            wait_for(lambda: one.admin("/v1/status")["draining"], 5, "draining")
+            response = http_call(one.admin_port, "POST", "/v1/undrain",
+                                 {"Authorization": f"Bearer {OPERATOR}"})
+            self.assertEqual(response.status, 409)
+            self.assertTrue(one.admin("/v1/status")["draining"])
+            self.assertEqual(one.node.wait(30), 0)
+            finish_load(load)
+
+    def test_calls_that_come_late_in_a_stop_are_refused(self):
+        """Guards against calls that are taken although the drain limit will cut them."""
+        settings = {"node": {"drain_limit_ms": 3000}}
+        with Fleet({"events": {"targets": 2, "zones": ["a"]}}, settings) as fleet:
+            fleet.set_up([POLICY])
+            one = fleet.instances[0]
+            # The first call keeps the node running; the second one comes after the port closed.
+            kept = [http.client.HTTPConnection(HOST, one.caller_port, timeout=10)
+                    for _ in range(2)]
+            for connection in kept:
+                connection.connect()
+            one.node.send_signal(signal.SIGTERM)
+            time.sleep(0.1)
+            kept[0].request("GET", "/firmware?ms=1500&size=10&id=early", headers={
+                "Host": "events"})
+            time.sleep(1)
+            kept[1].request("GET", "/firmware?ms=10&size=10&id=late", headers={
+                "Host": "events"})
+            late = kept[1].getresponse()
+            self.assertEqual(late.status, 503)
+            self.assertEqual(late.getheader("Bilberrytally-Verdict"), "not_run")
+            self.assertEqual(kept[0].getresponse().status, 200)
+            self.assertEqual(one.node.wait(30), 0)
+            self.assertNotIn("late", fleet.executions())
+
     def test_leaving_backend_server_gets_no_new_work(self):
         with Fleet({"events": {"targets": 3, "slots": 40}}) as fleet:
             fleet.set_up([POLICY])
