Notice silent connections to the store in time

Cause: in fleets of up to 16 nodes a watch waited 3 to 10 s and 0.8 s more. All begin anew at a change, so no peer noticed earlier either. Ruled out: the exchange between peers (a query follows the first digest), TCP keep-alive (the kernel at the other end goes on to acknowledge).

--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -10,8 +10,10 @@
 //! The watch is restarted if the store has not responded for this long after a
 //! peer announced a higher revision.
 constexpr base::duration_ms watch_stall_limit{600};
-//! Lower bound of the time-out of a long poll at the store.
-constexpr base::duration_ms min_long_poll_timeout{10000};
+//! Lower bound of the time-out of a long poll at the store. A connection that
+//! has gone silent is noticed only when a poll on it fails, which must not take
+//! longer than a change may take to be in force.
+constexpr base::duration_ms min_long_poll_timeout{1700};
 //! Time-out of a long poll at the store if other nodes rely on this node's
 //! watch. It is short, so that the node soon detects a store that stopped
 //! responding without closing the connection.
