Let suspected requests make their probe run on the users' platform

Cause: the probe run that clears a request never happened. The target's side compared the node's name with the target's instance id, crash ids carried that name too, and the caller's node did not know which targets had crashed. Change: addresses are compared, crash ids carry the listed id, a refusal as suspected names the crashes, and a service whose targets have all crashed may still probe.

--- a/src/decisions/internal/quarantine.cpp
+++ b/src/decisions/internal/quarantine.cpp
@@ -27,17 +27,20 @@
     entry.last_report = now;
 }
 
+std::set<std::string> quarantine::crashes(std::uint64_t fingerprint) const
+{
+    const auto found = this->entries.find(fingerprint);
+    return found == this->entries.end() ? std::set<std::string>{}
+                                        : found->second.crashes;
+}
+
 std::set<std::string>
 quarantine::crashed_instances(std::uint64_t fingerprint) const
 {
     std::set<std::string> instances;
-    const auto found = this->entries.find(fingerprint);
-    if (found != this->entries.end())
+    for (const auto& crash : this->crashes(fingerprint))
     {
-        for (const auto& crash : found->second.crashes)
-        {
-            instances.insert(crash.substr(0, crash.rfind('#')));
-        }
+        instances.insert(crash.substr(0, crash.rfind('#')));
     }
     return instances;
 }
@@ -47,9 +50,8 @@
     this->entries.erase(fingerprint);
 }
 
-quarantine_decision quarantine::check(
-    std::uint64_t fingerprint, const std::string& self,
-    const std::string& probe_target, base::time_ms now)
+quarantine_decision
+quarantine::check(std::uint64_t fingerprint, bool may_probe, base::time_ms now)
 {
     if (!this->has_crash_report(fingerprint, now))
     {
@@ -59,7 +61,7 @@
     {
         return quarantine_decision::refuse;
     }
-    if (self != probe_target)
+    if (!may_probe)
     {
         return quarantine_decision::elsewhere;
     }
--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -294,6 +294,13 @@
     return best == nullptr ? std::nullopt : std::optional(best->address);
 }
 
+std::optional<target_address> target_table::probe_target(
+    std::uint64_t fingerprint, const std::set<std::string>& crashed) const
+{
+    const auto sound = this->owner(fingerprint, crashed);
+    return sound ? sound : this->owner(fingerprint);
+}
+
 std::optional<target_address>
 target_table::find(const std::string& instance) const
 {
--- a/src/decisions/quarantine.hpp
+++ b/src/decisions/quarantine.hpp
@@ -45,17 +45,19 @@
     void record_crash(
         std::uint64_t fingerprint, const std::string& crash, base::time_ms now);
 
+    //! Ids of the crashes while the request ran.
+    std::set<std::string> crashes(std::uint64_t fingerprint) const;
+
     //! Instances whose backend servers crashed while they ran the request.
     std::set<std::string> crashed_instances(std::uint64_t fingerprint) const;
 
     //! Drops all crash reports of a request that completed a probe run.
     void clear(std::uint64_t fingerprint);
 
-    //! Decides about a request that arrived at the target \p self.
-    //! \p probe_target is the target that may do the probe run.
-    quarantine_decision check(
-        std::uint64_t fingerprint, const std::string& self,
-        const std::string& probe_target, base::time_ms now);
+    //! Decides about a request that arrived at a target. \p may_probe is true
+    //! if this is the target that may do the probe run.
+    quarantine_decision
+    check(std::uint64_t fingerprint, bool may_probe, base::time_ms now);
 
     //! Ends the probe run that check() allowed.
     void end_probe_run(std::uint64_t fingerprint);
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -162,6 +162,12 @@
     std::optional<target_address>
     owner(std::uint64_t key, const std::set<std::string>& excluded = {}) const;
 
+    //! Target that does the probe run of a suspected request: the owner of its
+    //! \p fingerprint among the targets that it has not crashed, or among all
+    //! if it has crashed each of them.
+    std::optional<target_address> probe_target(
+        std::uint64_t fingerprint, const std::set<std::string>& crashed) const;
+
     //! Address of a listed target; nothing if it is not listed.
     std::optional<target_address> find(const std::string& instance) const;
 
--- a/src/decisions/tests/routing_test.cpp
+++ b/src/decisions/tests/routing_test.cpp
@@ -216,19 +216,19 @@
 TEST_CASE("a suspected request gets one probe run at a time, then is refused")
 {
     quarantine suspects;
-    CHECK(suspects.check(1, "t1", "t2", {0}) == quarantine_decision::pass);
+    CHECK(suspects.check(1, false, {0}) == quarantine_decision::pass);
     suspects.record_crash(1, "t1#1", {0});
     suspects.record_crash(2, "t1#1", {0});
-    CHECK(suspects.check(1, "t3", "t2", {1}) == quarantine_decision::elsewhere);
-    CHECK(suspects.check(1, "t2", "t2", {1}) == quarantine_decision::probe_run);
-    CHECK(suspects.check(2, "t2", "t2", {1}) == quarantine_decision::wait);
+    CHECK(suspects.check(1, false, {1}) == quarantine_decision::elsewhere);
+    CHECK(suspects.check(1, true, {1}) == quarantine_decision::probe_run);
+    CHECK(suspects.check(2, true, {1}) == quarantine_decision::wait);
     suspects.end_probe_run(1);
     suspects.record_crash(1, "t2#1", {2});
-    CHECK(suspects.check(1, "t2", "t2", {3}) == quarantine_decision::refuse);
-    CHECK(suspects.check(2, "t2", "t2", {3}) == quarantine_decision::probe_run);
+    CHECK(suspects.check(1, true, {3}) == quarantine_decision::refuse);
+    CHECK(suspects.check(2, true, {3}) == quarantine_decision::probe_run);
     suspects.clear(2);
-    CHECK(suspects.check(2, "t2", "t2", {4}) == quarantine_decision::pass);
-    CHECK(suspects.check(1, "t2", "t2", {700000}) == quarantine_decision::pass);
+    CHECK(suspects.check(2, true, {4}) == quarantine_decision::pass);
+    CHECK(suspects.check(1, true, {700000}) == quarantine_decision::pass);
 }
 
 TEST_CASE("calls are rerouted late, and only if they cause no nested calls")
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -321,9 +321,9 @@
     }
     answer.unspent = call->budget.left();
     answer.descendants = call->dispatches;
-    if (answer.struck)
+    if (answer.struck || answer.reason == refusal::suspected)
     {
-        // The body is the crash report, which is not meant for the caller.
+        // The body names crashes, which is not meant for the caller.
         answer.body.clear();
     }
     this->tables.record_event(
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
 
 // The parts of caller_side that choose targets, dispatch attempts and retry.
 namespace bilberrytally::node
@@ -50,6 +51,19 @@
     return {static_cast<std::int64_t>(std::lround(
         percent * static_cast<double>(latency.count) / mean_latency))};
 }
+
+//! Adds the crash ids in \p lines, one a line, to those known of a request.
+void add_crashes(std::vector<std::string>& known, const std::string& lines)
+{
+    std::istringstream stream(lines);
+    for (std::string crash; std::getline(stream, crash);)
+    {
+        if (std::find(known.begin(), known.end(), crash) == known.end())
+        {
+            known.push_back(std::move(crash));
+        }
+    }
+}
 } // namespace
 
 std::optional<decisions::target_address>
@@ -379,9 +393,11 @@
 void caller_side::prepare_retry(
     outbound_call& call, const schema::answer& answer)
 {
-    if (answer.struck)
+    const bool names_crashes =
+        answer.struck || answer.reason == refusal::suspected;
+    if (names_crashes)
     {
-        call.message.struck_by.push_back(answer.body);
+        add_crashes(call.message.struck_by, answer.body);
     }
     call.earlier_may_have_run |= verdict_of(answer) != verdict::not_run;
     call.message.rerun |= call.earlier_may_have_run;
@@ -399,7 +415,8 @@
                 {
                     crashed.insert(crash.substr(0, crash.rfind('#')));
                 }
-                const auto owner = targets.owner(call.message.digest, crashed);
+                const auto owner =
+                    targets.probe_target(call.message.digest, crashed);
                 call.destination =
                     owner ? destination_kind::pinned : call.destination;
                 call.fixed_target = owner.value_or(decisions::target_address{});
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -125,6 +125,32 @@
     return std::nullopt;
 }
 
+bool target_side::is_local(const decisions::target_address& target) const
+{
+    const auto& local_node = this->tables.settings.node;
+    return target.host == local_node.address &&
+           target.port == local_node.node_port;
+}
+
+std::string target_side::local_instance() const
+{
+    const auto& local_node = this->tables.settings.node;
+    std::string instance = local_node.instance;
+    this->tables.with_targets(
+        local_node.service,
+        [&](auto& targets, routing_table&)
+        {
+            for (const auto& row : targets.view(base::now()))
+            {
+                if (this->is_local(row.address))
+                {
+                    instance = row.address.instance;
+                }
+            }
+        });
+    return instance;
+}
+
 bool target_side::is_draining(const schema::call& call) const
 {
     bool draining = this->tables.draining || this->monitor.is_draining();
@@ -151,10 +177,9 @@
     std::optional<decisions::target_address> owner;
     this->tables.with_targets(
         call.message.service, [&](auto& targets, routing_table&)
-        { owner = targets.owner(call.message.digest, excluded); });
+        { owner = targets.probe_target(call.message.digest, excluded); });
     const auto decision = table.quarantine.check(
-        call.message.digest, this->tables.settings.node.instance,
-        owner ? owner->instance : "", now);
+        call.message.digest, owner && this->is_local(*owner), now);
     switch (decision)
     {
     case decisions::quarantine_decision::pass:
@@ -283,7 +308,12 @@
     this->tables.record_event(
         {0, "refuse", ended.message.root, id, ended.message.service,
          "reason=" + std::string(schema::to_string(reason)) + detail});
-    this->send_answer(ended, make_refusal(base::verdict::not_run, reason));
+    auto answer = make_refusal(base::verdict::not_run, reason);
+    if (reason == refusal::suspected)
+    {
+        answer.body = this->crash_ids(ended.message.digest);
+    }
+    this->send_answer(ended, std::move(answer));
     for (const auto waiting_id : removed->released)
     {
         this->admit(waiting_id);
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -181,6 +181,11 @@
     std::uint64_t add(inbound_call call);
     std::string request_id(const schema::call& call) const;
     void admit(std::uint64_t id);
+    //! True if this is the node beside the target.
+    bool is_local(const decisions::target_address& target) const;
+    //! Instance id of the local backend server: as it is listed, or as the
+    //! settings name it while it is not listed.
+    std::string local_instance() const;
     //! True if this node or the target of the call takes no new calls.
     bool is_draining(const schema::call& call) const;
     std::optional<schema::refusal>
@@ -217,6 +222,9 @@
         std::uint64_t id, schema::refusal reason,
         const std::string& detail = {});
     void send_answer(inbound_call& call, schema::answer answer);
+    //! Ids of the crashes while a request ran, one a line. Tell the caller's
+    //! node which target does the probe run.
+    std::string crash_ids(std::uint64_t fingerprint);
     void broadcast_crash_report(const schema::crash_report& report);
     http::transfer_request make_transfer(
         std::uint64_t id, const inbound_call& call, base::time_ms now) const;
--- a/src/node/internal/target_side_crashes.cpp
+++ b/src/node/internal/target_side_crashes.cpp
@@ -68,6 +68,7 @@
         return;
     }
     std::vector<schema::crash_report> reports;
+    const auto instance = this->local_instance();
     this->inbound.with(
         [&](inbound_table& table)
         {
@@ -78,8 +79,7 @@
                 schema::crash_report report;
                 report.service = this->tables.settings.node.service;
                 report.fingerprint = fingerprint;
-                report.death = crash_id(
-                    this->tables.settings.node.instance, table.crash_count);
+                report.death = crash_id(instance, table.crash_count);
                 table.quarantine.record_crash(fingerprint, report.death, now);
                 reports.push_back(std::move(report));
             }
@@ -107,6 +107,7 @@
         this->on_backend_refused();
     }
     schema::crash_report report;
+    const auto instance = this->local_instance();
     this->inbound.with(
         [&](inbound_table& table)
         {
@@ -120,8 +121,7 @@
             const auto& call = found->second.message;
             report.service = call.service;
             report.fingerprint = call.digest;
-            report.death = crash_id(
-                this->tables.settings.node.instance, table.crash_count);
+            report.death = crash_id(instance, table.crash_count);
             table.quarantine.record_crash(
                 call.digest, report.death, base::now());
         });
@@ -165,6 +165,19 @@
         });
 }
 
+std::string target_side::crash_ids(std::uint64_t fingerprint)
+{
+    const auto crashes =
+        this->inbound.with([&](inbound_table& table)
+                           { return table.quarantine.crashes(fingerprint); });
+    std::string lines;
+    for (const auto& crash : crashes)
+    {
+        lines += crash + '\n';
+    }
+    return lines;
+}
+
 void target_side::broadcast_crash_report(const schema::crash_report& report)
 {
     std::vector<decisions::target_view> peers;
@@ -174,7 +187,7 @@
     const auto body = transport::encode(report);
     for (const auto& peer : peers)
     {
-        if (peer.address.instance != this->tables.settings.node.instance)
+        if (!this->is_local(peer.address))
         {
             const auto link =
                 this->network->link_to({peer.address.host, peer.address.port});
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -201,7 +201,8 @@
     std::uint32_t status{0};
     //! Headers of the HTTP response.
     std::vector<header> headers{};
-    //! Body of the HTTP response; the id of the crash if struck is set.
+    //! Body of the HTTP response; the ids of the crashes, one a line, if struck
+    //! is set or the reason is suspected.
     std::string body{};
     //! Unspent share of the retry budget returned to the caller, in extra
     //! attempts.
