Drop log lines that nobody reads in time

Callers saw: a node whose log reader was paused answered nothing 15.5 s later (review/log_reader). Cause: the log sink wrote to a blocking pipe on the worker thread.

--- a/src/apps/structured_log.cpp
+++ b/src/apps/structured_log.cpp
@@ -1,8 +1,9 @@
 #include "apps/structured_log.hpp"
 
 #include <iomanip>
-#include <iostream>
+#include <sstream>
 #include <string_view>
+#include <unistd.h>
 
 namespace bilberrytally::app
 {
@@ -19,7 +20,8 @@
 
 structured_log::structured_log(
     const char* program, unsigned level, unsigned flush_s)
-    : flush_interval{static_cast<std::int64_t>(flush_s) * ms_per_s},
+    : output(STDOUT_FILENO),
+      flush_interval{static_cast<std::int64_t>(flush_s) * ms_per_s},
       last_flush(base::now())
 {
     FLAGS_minloglevel = static_cast<int>(level);
@@ -36,7 +38,7 @@
 {
     google::RemoveLogSink(this);
     google::ShutdownGoogleLogging();
-    std::cout.flush();
+    this->output.flush();
 }
 
 bool structured_log::admit_info_line()
@@ -46,8 +48,9 @@
     {
         if (this->left_out > 0)
         {
-            std::cout << "level=INFO event=lines_left_out count="
-                      << this->left_out << '\n';
+            this->output.add(
+                "level=INFO event=lines_left_out count=" +
+                std::to_string(this->left_out) + '\n');
         }
         this->window_start = now;
         this->lines_in_window = 0;
@@ -71,19 +74,21 @@
     {
         return;
     }
-    std::cout << std::setfill('0') << "time=" << first_year + time.year() << '-'
-              << std::setw(2) << 1 + time.month() << '-' << std::setw(2)
-              << time.day() << 'T' << std::setw(2) << time.hour() << ':'
-              << std::setw(2) << time.min() << ':' << std::setw(2) << time.sec()
-              << '.' << std::setw(microsecond_digits) << time.usec()
-              << " level=" << google::GetLogSeverityName(severity)
-              << " source=" << base_filename << ':' << line << ' '
-              << std::string_view(message, length) << '\n';
+    std::ostringstream text;
+    text << std::setfill('0') << "time=" << first_year + time.year() << '-'
+         << std::setw(2) << 1 + time.month() << '-' << std::setw(2)
+         << time.day() << 'T' << std::setw(2) << time.hour() << ':'
+         << std::setw(2) << time.min() << ':' << std::setw(2) << time.sec()
+         << '.' << std::setw(microsecond_digits) << time.usec()
+         << " level=" << google::GetLogSeverityName(severity)
+         << " source=" << base_filename << ':' << line << ' '
+         << std::string_view(message, length) << '\n';
+    this->output.add(text.str());
     const auto now = base::now();
     if (severity > google::GLOG_INFO ||
         now - this->last_flush >= this->flush_interval)
     {
-        std::cout.flush();
+        this->output.flush();
         this->last_flush = now;
     }
 }
--- a/src/apps/structured_log.hpp
+++ b/src/apps/structured_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "apps/log_output.hpp"
 #include "base/time.hpp"
 
 #include <glog/logging.h>
@@ -8,6 +9,8 @@
 {
 //! Writes each log message to standard output, as one line of key=value pairs.
 //! Limits the rate of informational lines; warnings and errors always pass.
+//! Lines that the reader of standard output does not take in time are dropped,
+//! so that the program never waits for it.
 class structured_log : public google::LogSink
 {
 public:
@@ -31,6 +34,7 @@
     //! is reached; the number of lines left out is logged with a later line.
     bool admit_info_line();
 
+    log_output output;
     base::time_ms window_start{INT64_MIN / 2};
     std::uint32_t lines_in_window{0};
     std::uint32_t left_out{0};
