Tell restarted nodes which requests crash their targets

Cause: crash reports were broadcast once and a new process never got them. Change: after its start a node asks three nodes of its service, twice; reports carry their age, so that they still lapse. Ruled out: lost broadcasts (it holds without restarts).

--- a/src/decisions/internal/quarantine.cpp
+++ b/src/decisions/internal/quarantine.cpp
@@ -15,16 +15,16 @@
 } // namespace
 
 void quarantine::record_crash(
-    std::uint64_t fingerprint, const std::string& crash, base::time_ms now)
+    std::uint64_t fingerprint, const std::string& crash, base::time_ms reported)
 {
     if (this->entries.size() >= max_entries &&
         this->entries.count(fingerprint) == 0)
     {
-        this->drop_old(now);
+        this->drop_old(reported);
     }
     auto& entry = this->entries[fingerprint];
     entry.crashes.insert(crash);
-    entry.last_report = now;
+    entry.last_report = std::max(entry.last_report, reported);
 }
 
 std::set<std::string> quarantine::crashes(std::uint64_t fingerprint) const
@@ -89,6 +89,23 @@
            now - found->second.last_report < crash_report_lifetime;
 }
 
+std::vector<crash_record> quarantine::records(base::time_ms now) const
+{
+    std::vector<crash_record> rows;
+    for (const auto& [fingerprint, entry] : this->entries)
+    {
+        if (!this->has_crash_report(fingerprint, now))
+        {
+            continue;
+        }
+        for (const auto& crash : entry.crashes)
+        {
+            rows.push_back({fingerprint, crash, entry.last_report});
+        }
+    }
+    return rows;
+}
+
 std::vector<quarantine_view> quarantine::view(base::time_ms now) const
 {
     std::vector<quarantine_view> rows;
--- a/src/decisions/quarantine.hpp
+++ b/src/decisions/quarantine.hpp
@@ -32,6 +32,18 @@
     bool operator==(const quarantine_view&) const = default;
 };
 
+//! A crash report in force.
+struct crash_record
+{
+    std::uint64_t fingerprint{0};
+    //! Instance id, '#', and the number of the crash.
+    std::string crash;
+    //! When the last crash of the request was reported.
+    base::time_ms reported;
+
+    auto operator<=>(const crash_record&) const = default;
+};
+
 //! Suspected requests: those that were in flight when a backend server crashed.
 //! After one crash report a request may only make a probe run, on one target of
 //! the service and with no other suspected request beside it. After two crash
@@ -41,9 +53,10 @@
 public:
     //! Records a crash report: a backend server crashed while it ran the
     //! request. \p crash is the instance id, '#', and the number of the crash;
-    //! the same crash counts once.
+    //! the same crash counts once. \p reported may lie in the past.
     void record_crash(
-        std::uint64_t fingerprint, const std::string& crash, base::time_ms now);
+        std::uint64_t fingerprint, const std::string& crash,
+        base::time_ms reported);
 
     //! Ids of the crashes while the request ran.
     std::set<std::string> crashes(std::uint64_t fingerprint) const;
@@ -65,6 +78,9 @@
     //! True if there is at least one current crash report about the request.
     bool has_crash_report(std::uint64_t fingerprint, base::time_ms now) const;
 
+    //! All crash reports in force.
+    std::vector<crash_record> records(base::time_ms now) const;
+
     //! All suspected requests with current crash reports.
     std::vector<quarantine_view> view(base::time_ms now) const;
 
@@ -72,7 +88,7 @@
     struct entry
     {
         std::set<std::string> crashes;
-        base::time_ms last_report;
+        base::time_ms last_report{INT64_MIN / 2};
     };
 
     void drop_old(base::time_ms now);
--- a/src/node/internal/frame_dispatcher.cpp
+++ b/src/node/internal/frame_dispatcher.cpp
@@ -88,6 +88,11 @@
             frame, [&](const auto& report)
             { this->inbound_calls.on_crash_report(report); });
         return;
+    case frame_kind::crash_query:
+        this->decode_and_handle<schema::crash_query>(
+            frame, [&](const auto& query)
+            { this->inbound_calls.on_crash_query(link, query); });
+        return;
     case frame_kind::availability_notice:
         this->decode_and_handle<schema::hello>(
             frame, [&](const auto& peer) { this->on_peer_availability(peer); });
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -466,6 +466,7 @@
             }
             return table.admission.advance(now);
         });
+    this->query_crash_reports(now);
     this->apply(actions);
     for (const auto id : expired)
     {
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -102,6 +102,9 @@
     void refuse_waiting(schema::refusal reason);
 
     void on_crash_report(const schema::crash_report& report);
+    //! Sends a node of the same service the crash reports in force.
+    void
+    on_crash_query(transport::link_id link, const schema::crash_query& query);
     void on_policy(const schema::service_policy& policy);
     void tick(base::time_ms now);
 
@@ -226,6 +229,12 @@
     //! node which target does the probe run.
     std::string crash_ids(std::uint64_t fingerprint);
     void broadcast_crash_report(const schema::crash_report& report);
+    //! After the start, asks some nodes of the same service for the crash
+    //! reports in force, since a restarted node knows none.
+    void query_crash_reports(base::time_ms now);
+    //! The listed targets of the local service on other nodes.
+    std::vector<decisions::target_view> peer_targets() const;
+    //! The request for the backend server; takes the body out of the call.
     http::transfer_request make_transfer(
         std::uint64_t id, const inbound_call& call, base::time_ms now) const;
     void add_platform_headers(
@@ -244,6 +253,8 @@
     backend_monitor monitor;
     transport::peer_network* network{nullptr};
     std::function<void(std::uint64_t)> cancel_nested_calls;
+    std::uint32_t crash_query_rounds{0};
+    base::time_ms next_crash_query{INT64_MIN / 2};
     base::guarded<inbound_table, inbound_calls_rank> inbound;
 };
 } // namespace bilberrytally::node
--- a/src/node/internal/target_side_crashes.cpp
+++ b/src/node/internal/target_side_crashes.cpp
@@ -2,6 +2,9 @@
 #include "node/internal/target_side.hpp"
 #include "transport/message_codec.hpp"
 
+#include <algorithm>
+#include <random>
+
 // The part of target_side that finds out which requests crash the backend
 // server.
 namespace bilberrytally::node
@@ -10,6 +13,12 @@
 {
 using schema::refusal;
 
+//! Nodes that are asked for their crash reports in a round. All nodes of a
+//! service know the same ones, unless they have just started, too.
+constexpr std::size_t queried_peers = 3;
+constexpr std::uint32_t max_crash_query_rounds = 2;
+constexpr base::duration_ms crash_query_interval{1000};
+
 std::string crash_id(const std::string& instance, std::uint64_t number)
 {
     return instance + "#" + std::to_string(number);
@@ -160,11 +169,76 @@
                 table.quarantine.clear(report.fingerprint);
                 return;
             }
+            const base::duration_ms age{
+                static_cast<std::int64_t>(report.age_ms)};
             table.quarantine.record_crash(
-                report.fingerprint, report.death, base::now());
+                report.fingerprint, report.death, base::now() - age);
         });
 }
 
+void target_side::on_crash_query(
+    transport::link_id link, const schema::crash_query& query)
+{
+    const auto& service = this->tables.settings.node.service;
+    if (query.service != service)
+    {
+        return;
+    }
+    const auto now = base::now();
+    const auto records = this->inbound.with(
+        [&](inbound_table& table) { return table.quarantine.records(now); });
+    for (const auto& record : records)
+    {
+        schema::crash_report report;
+        report.service = service;
+        report.fingerprint = record.fingerprint;
+        report.death = record.crash;
+        report.age_ms =
+            static_cast<std::uint64_t>((now - record.reported).count);
+        this->network->send(
+            link, transport::frame_kind::crash_report,
+            transport::encode(report), 0);
+    }
+}
+
+std::vector<decisions::target_view> target_side::peer_targets() const
+{
+    std::vector<decisions::target_view> peers;
+    this->tables.with_targets(
+        this->tables.settings.node.service, [&](auto& targets, routing_table&)
+        { peers = targets.view(base::now()); });
+    std::erase_if(
+        peers, [this](const auto& row) { return this->is_local(row.address); });
+    return peers;
+}
+
+void target_side::query_crash_reports(base::time_ms now)
+{
+    if (this->crash_query_rounds >= max_crash_query_rounds ||
+        now < this->next_crash_query)
+    {
+        return;
+    }
+    auto peers = this->peer_targets();
+    if (peers.empty())
+    {
+        return;
+    }
+    ++this->crash_query_rounds;
+    this->next_crash_query = now + crash_query_interval;
+    std::shuffle(
+        peers.begin(), peers.end(), std::mt19937_64(base::random_bits()));
+    peers.resize(std::min(peers.size(), queried_peers));
+    const auto body = transport::encode(
+        schema::crash_query{this->tables.settings.node.service});
+    for (const auto& peer : peers)
+    {
+        this->network->send(
+            this->network->link_to({peer.address.host, peer.address.port}),
+            transport::frame_kind::crash_query, body, 0);
+    }
+}
+
 std::string target_side::crash_ids(std::uint64_t fingerprint)
 {
     const auto crashes =
@@ -180,20 +254,12 @@
 
 void target_side::broadcast_crash_report(const schema::crash_report& report)
 {
-    std::vector<decisions::target_view> peers;
-    this->tables.with_targets(
-        report.service, [&](auto& targets, routing_table&)
-        { peers = targets.view(base::now()); });
     const auto body = transport::encode(report);
-    for (const auto& peer : peers)
+    for (const auto& peer : this->peer_targets())
     {
-        if (!this->is_local(peer.address))
-        {
-            const auto link =
-                this->network->link_to({peer.address.host, peer.address.port});
-            this->network->send(
-                link, transport::frame_kind::crash_report, body, 0);
-        }
+        const auto link =
+            this->network->link_to({peer.address.host, peer.address.port});
+        this->network->send(link, transport::frame_kind::crash_report, body, 0);
     }
 }
 } // namespace bilberrytally::node
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -268,13 +268,31 @@
     std::string death{};
     //! The request completed in a later probe run and is no longer suspected.
     bool cleared{false};
+    //! Time since the last crash of the request, ms.
+    std::uint64_t age_ms{0};
 
     bool operator==(const crash_report&) const = default;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(this->service, this->fingerprint, this->death, this->cleared);
+        archive(
+            this->service, this->fingerprint, this->death, this->cleared,
+            this->age_ms);
+    }
+};
+//! Asks a node of the same service for the crash reports that it knows.
+struct crash_query
+{
+    //! Service of the sender.
+    std::string service{};
+
+    bool operator==(const crash_query&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->service);
     }
 };
 //! An item of the metadata store, as published there.
--- a/src/transport/frame.hpp
+++ b/src/transport/frame.hpp
@@ -26,6 +26,7 @@
     directory_digest, //!< Gossip digest of the directory, a datagram.
     item_query,       //!< Asks a peer for items of the directory.
     item_list,        //!< Items of the directory.
+    crash_query,      //!< Asks a peer for the crash reports that it knows.
 };
 
 //! Contents of the fixed-size header that precedes each body.
