Distrust idle connections after a request without any response

Cause: only the connection of the request itself was given up. Change: a request that is given up after 500 ms or more without a byte closes the connections that have been idle since before it. Shown: a new case of pooled_client_test, which fails on the program before.

--- a/src/http/internal/pooled_client.cpp
+++ b/src/http/internal/pooled_client.cpp
@@ -22,6 +22,10 @@
 constexpr std::int64_t idle_numerator = 3;
 constexpr std::int64_t idle_denominator = 4;
 
+//! A request that was given up after this time, without a byte of a response,
+//! casts doubt on the connections that were idle all the while.
+constexpr base::duration_ms silent_after{500};
+
 //! Keeps a pool of connections to a server; all work is done on a strand.
 class pooled_client : public http_client
 {
@@ -200,6 +204,31 @@
     }
 
     void remove_number(const connection_ptr& connection)
+    //! Closes the connections to a server that have been idle since before
+    //! \p when: open connections may have gone silent together.
+    void close_idle_since(
+        const asio::ip::tcp::endpoint& endpoint, base::time_ms when)
+    {
+        std::vector<connection_ptr> doubtful;
+        std::erase_if(
+            this->idle,
+            [&](const auto& item)
+            {
+                const bool doubted =
+                    item.endpoint == endpoint && item.since <= when;
+                if (doubted)
+                {
+                    doubtful.push_back(item.connection);
+                }
+                return doubted;
+            });
+        for (const auto& connection : doubtful)
+        {
+            this->remove_number(connection);
+            connection->close(transfer_outcome::cancelled);
+        }
+    }
+
     {
         this->connection_numbers.erase(connection.get());
     }
@@ -245,6 +274,13 @@
             this->remove_number(item.connection);
         }
         transfer_result result;
+        const bool given_up = outcome == transfer_outcome::cancelled ||
+                              outcome == transfer_outcome::timed_out;
+        if (given_up && now - item.started >= silent_after &&
+            !item.connection->has_received())
+        {
+            this->close_idle_since(endpoint, item.started);
+        }
         result.outcome = outcome;
         result.content = std::move(received);
         result.duration_ms = static_cast<double>((now - item.started).count);
--- a/src/http/internal/pooled_connection.cpp
+++ b/src/http/internal/pooled_connection.cpp
@@ -341,6 +341,11 @@
         this->finish(
             unsent ? transfer_outcome::unsent : outcome, response{}, false);
         return;
+bool pooled_connection::has_received() const
+{
+    return this->received_bytes > 0;
+}
+
     }
     if (this->on_idle_close)
     {
--- a/src/http/internal/pooled_connection.hpp
+++ b/src/http/internal/pooled_connection.hpp
@@ -55,6 +55,9 @@
     //! repeats its response to that request would answer the new one by it.
     bool has_carried(const std::string& id) const;
 
+    //! True if anything was received since the current request was sent.
+    bool has_received() const;
+
     //! True while the connection is being established.
     bool is_connecting() const;
 
--- a/src/http/tests/pooled_client_test.cpp
+++ b/src/http/tests/pooled_client_test.cpp
@@ -91,3 +91,22 @@
     running_client client;
     CHECK(client.get(port, "1").outcome == transfer_outcome::unsent);
 }
+
+// Guards against requests that one after the other are sent on connections that
+// have gone silent together.
+TEST_CASE(
+    "after a request without any response idle connections are distrusted")
+{
+    raw_server server(
+        {{{answer("1", "one")}, {""}},
+         {{answer("2", "two")}, {""}},
+         {{answer("4", "four")}}});
+    running_client client;
+    auto first = client.start(server.port(), "1", {1000});
+    auto second = client.start(server.port(), "2", {1000});
+    CHECK(first.get().content.body == "one");
+    CHECK(second.get().content.body == "two");
+    const auto silent = client.start(server.port(), "3", {600}).get();
+    CHECK(silent.outcome == transfer_outcome::timed_out);
+    CHECK(client.get(server.port(), "4").content.body == "four");
+}
