Bound what unfinished responses hold together, however many they are

Cause: over the limit of all responses those below a sixteenth of it went on, and nothing bounded their number (650 MB with 162 connections); heads were not counted; libcurl's heads had no bound. Change: over the limit a response ends that holds more than an equal share of it; heads count; the same rule for libcurl, with 256 KB for heads. Shown: endless_response_test, a new case, fails on the program before.

--- /dev/null
+++ b/src/http/internal/held_body_meter.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace bilberrytally::http
+{
+//! Counts the bytes of unfinished responses that all transfers of a client
+//! hold. Thread-safe.
+class held_body_meter
+{
+public:
+    //! \p limit is the largest number of bytes held together.
+    explicit held_body_meter(std::uint64_t limit);
+
+    //! Records that a transfer holds \p after bytes, and before \p before.
+    void update(std::uint64_t before, std::uint64_t after);
+
+    //! True if the limit is exceeded and a transfer that holds \p own bytes has
+    //! more than an equal share of it. The largest transfer always has, so that
+    //! the limit holds however many transfers there are, and small ones go on.
+    bool must_end(std::uint64_t own) const;
+
+    //! Bytes held by all transfers.
+    std::uint64_t total() const;
+
+private:
+    std::uint64_t limit;
+    std::atomic<std::uint64_t> bytes{0};
+    //! Number of transfers that hold any.
+    std::atomic<std::uint64_t> holders{0};
+};
+} // namespace bilberrytally::http
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -1,4 +1,5 @@
 #include "http/http_client.hpp"
+#include "http/internal/held_body_meter.hpp"
 
 #include <asio/dispatch.hpp>
 #include <asio/ip/tcp.hpp>
@@ -22,6 +23,8 @@
 constexpr long max_idle_s = 2;
 //! libcurl handles kept for later transfers.
 constexpr std::size_t max_pooled_handles = 256;
+//! Limit of the heads and trailers of a response.
+constexpr std::uint64_t max_head_bytes = 256U << 10U;
 
 //! A transfer in progress.
 struct transfer
@@ -33,6 +36,8 @@
     transfer_handler on_done;
     response received;
     std::uint64_t held_bytes{0};
+    //! Of all heads, interim ones included, and of trailers.
+    std::uint64_t received_head_bytes{0};
     //! How often libcurl has been about to send the request.
     unsigned sends{0};
     bool too_large{false};
@@ -59,7 +64,8 @@
 public:
     curl_client(asio::io_context& context, const client_limits& limits)
         : context(context), strand(asio::make_strand(context)),
-          timer(this->strand), limits(limits), multi(curl_multi_init())
+          timer(this->strand), limits(limits), held(limits.max_held_bytes),
+          multi(curl_multi_init())
     {
         curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
         curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
@@ -116,7 +122,7 @@
 
     std::uint64_t held_bytes() const override
     {
-        return this->total_held_bytes;
+        return this->held.total();
     }
 
     void set_connections_per_host(std::uint32_t connections) override
@@ -282,7 +288,7 @@
 
     void release(transfer& item)
     {
-        this->total_held_bytes -= item.held_bytes;
+        this->held.update(item.held_bytes, 0);
         curl_slist_free_all(item.headers);
         if (this->handle_pool.size() < max_pooled_handles)
         {
@@ -437,6 +443,12 @@
     {
         auto& item = *static_cast<transfer*>(user);
         const std::string_view line(data, size * count);
+        item.received_head_bytes += line.size();
+        if (item.received_head_bytes > max_head_bytes)
+        {
+            item.too_large = true;
+            return 0;
+        }
         if (line.starts_with("HTTP/"))
         {
             item.received.headers.clear();
@@ -468,16 +480,14 @@
         auto& item = *static_cast<transfer*>(user);
         auto& self = *item.owner;
         const auto bytes = size * count;
-        const bool fits =
-            item.received.body.size() + bytes <= self.limits.max_answer_bytes &&
-            self.total_held_bytes + bytes <= self.limits.max_held_bytes;
-        if (!fits)
+        self.held.update(item.held_bytes, item.held_bytes + bytes);
+        item.held_bytes += bytes;
+        item.too_large = item.held_bytes > self.limits.max_answer_bytes ||
+                         self.held.must_end(item.held_bytes);
+        if (item.too_large)
         {
-            item.too_large = true;
             return 0;
         }
-        item.held_bytes += bytes;
-        self.total_held_bytes += bytes;
         item.received.body.append(data, bytes);
         return bytes;
     }
@@ -486,9 +496,9 @@
     asio::strand<asio::io_context::executor_type> strand;
     asio::steady_timer timer;
     client_limits limits;
+    held_body_meter held;
     CURLM* multi;
     std::atomic<std::uint64_t> last_id{0};
-    std::atomic<std::uint64_t> total_held_bytes{0};
     std::map<curl_socket_t, socket_ptr> sockets;
     std::unordered_map<std::uint64_t, std::unique_ptr<transfer>> transfers;
     std::vector<CURL*> handle_pool;
--- a/src/http/internal/pooled_client.cpp
+++ b/src/http/internal/pooled_client.cpp
@@ -32,7 +32,8 @@
 public:
     pooled_client(asio::io_context& context, const client_limits& limits)
         : strand(asio::make_strand(context)), timer(this->strand),
-          limits(limits)
+          limits(limits),
+          unfinished(std::make_shared<held_body_meter>(limits.max_held_bytes))
     {
     }
 
@@ -74,7 +75,7 @@
 
     std::uint64_t held_bytes() const override
     {
-        return *this->unfinished_bytes;
+        return this->unfinished->total();
     }
 
     void set_connections_per_host(std::uint32_t connections) override
@@ -148,7 +149,7 @@
     {
         const auto number = ++this->last_connection;
         auto connection = std::make_shared<pooled_connection>(
-            this->strand, this->limits, this->unfinished_bytes,
+            this->strand, this->limits, this->unfinished,
             [this, number] { this->on_idle_close(number); });
         this->connection_numbers.emplace(connection.get(), number);
         return connection;
@@ -203,7 +204,6 @@
         }
     }
 
-    void remove_number(const connection_ptr& connection)
     //! Closes the connections to a server that have been idle since before
     //! \p when: open connections may have gone silent together.
     void close_idle_since(
@@ -229,6 +229,7 @@
         }
     }
 
+    void remove_number(const connection_ptr& connection)
     {
         this->connection_numbers.erase(connection.get());
     }
@@ -273,7 +274,6 @@
         {
             this->remove_number(item.connection);
         }
-        transfer_result result;
         const bool given_up = outcome == transfer_outcome::cancelled ||
                               outcome == transfer_outcome::timed_out;
         if (given_up && now - item.started >= silent_after &&
@@ -281,6 +281,7 @@
         {
             this->close_idle_since(endpoint, item.started);
         }
+        transfer_result result;
         result.outcome = outcome;
         result.content = std::move(received);
         result.duration_ms = static_cast<double>((now - item.started).count);
@@ -364,8 +365,7 @@
     asio::strand<asio::io_context::executor_type> strand;
     asio::steady_timer timer;
     client_limits limits;
-    std::shared_ptr<std::atomic<std::uint64_t>> unfinished_bytes{
-        std::make_shared<std::atomic<std::uint64_t>>(0)};
+    std::shared_ptr<held_body_meter> unfinished;
     std::atomic<std::uint64_t> last_id{0};
     std::uint64_t last_connection{0};
     bool stopped{false};
--- a/src/http/internal/pooled_connection.cpp
+++ b/src/http/internal/pooled_connection.cpp
@@ -18,9 +18,6 @@
 constexpr std::uint64_t max_overhead_bytes = 1U << 20U;
 //! The framing of a chunk with one byte of data takes 6 bytes.
 constexpr std::uint64_t max_overhead_per_body_byte = 8;
-//! While all responses together exceed max_held_bytes, those that hold less
-//! than this fraction (1/n) of it go on.
-constexpr std::uint64_t undisturbed_share_divisor = 16;
 //! Number of requests whose ids a connection remembers.
 constexpr std::size_t max_carried_ids = 16;
 
@@ -77,10 +74,8 @@
 
 pooled_connection::pooled_connection(
     const asio::any_io_executor& executor, const client_limits& limits,
-    std::shared_ptr<std::atomic<std::uint64_t>> held_bytes,
-    idle_close_handler on_idle_close)
-    : socket(executor), parser(limits.max_answer_bytes),
-      max_held_bytes(limits.max_held_bytes), held_bytes(std::move(held_bytes)),
+    std::shared_ptr<held_body_meter> held, idle_close_handler on_idle_close)
+    : socket(executor), parser(limits.max_answer_bytes), held(std::move(held)),
       on_idle_close(std::move(on_idle_close))
 {
 }
@@ -203,7 +198,7 @@
         switch (this->parser.feed(bytes))
         {
         case response_parser::progress::partial:
-            this->update_held_bytes(this->parser.current().body.size());
+            this->update_held_bytes(this->parser.held_bytes());
             if (this->is_over_limit())
             {
                 this->close(transfer_outcome::too_large);
@@ -228,16 +223,14 @@
     const auto max_received =
         max_overhead_bytes +
         (1 + max_overhead_per_body_byte) * this->parser.current().body.size();
-    const bool is_large =
-        this->own_held_bytes > this->max_held_bytes / undisturbed_share_divisor;
     return this->received_bytes > max_received ||
-           (is_large && *this->held_bytes > this->max_held_bytes);
+           this->held->must_end(this->own_held_bytes);
 }
 
-void pooled_connection::update_held_bytes(std::uint64_t body_bytes)
+void pooled_connection::update_held_bytes(std::uint64_t bytes)
 {
-    *this->held_bytes += body_bytes - this->own_held_bytes;
-    this->own_held_bytes = body_bytes;
+    this->held->update(this->own_held_bytes, bytes);
+    this->own_held_bytes = bytes;
 }
 
 void pooled_connection::on_read_end(bool clean_eof)
@@ -341,11 +334,6 @@
         this->finish(
             unsent ? transfer_outcome::unsent : outcome, response{}, false);
         return;
-bool pooled_connection::has_received() const
-{
-    return this->received_bytes > 0;
-}
-
     }
     if (this->on_idle_close)
     {
@@ -353,6 +341,11 @@
     }
 }
 
+bool pooled_connection::has_received() const
+{
+    return this->received_bytes > 0;
+}
+
 bool pooled_connection::is_connecting() const
 {
     return this->connecting;
--- a/src/http/internal/pooled_connection.hpp
+++ b/src/http/internal/pooled_connection.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "http/http_client.hpp"
+#include "http/internal/held_body_meter.hpp"
 #include "http/internal/response_parser.hpp"
 
 #include <asio/any_io_executor.hpp>
 #include <asio/ip/tcp.hpp>
 
 #include <array>
-#include <atomic>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -28,11 +28,11 @@
     //! Called when the connection closed while no request was in flight.
     using idle_close_handler = std::function<void()>;
 
-    //! \p held_bytes counts the body bytes that all connections of a client
-    //! hold in unfinished responses.
+    //! \p held counts what all connections of a client hold of unfinished
+    //! responses.
     pooled_connection(
         const asio::any_io_executor& executor, const client_limits& limits,
-        std::shared_ptr<std::atomic<std::uint64_t>> held_bytes,
+        std::shared_ptr<held_body_meter> held,
         idle_close_handler on_idle_close);
     ~pooled_connection();
 
@@ -74,8 +74,8 @@
     void on_response();
     //! True if the current response exceeds a limit.
     bool is_over_limit() const;
-    //! Counts the body bytes of the unfinished response in held_bytes.
-    void update_held_bytes(std::uint64_t body_bytes);
+    //! Counts the bytes of the unfinished response.
+    void update_held_bytes(std::uint64_t bytes);
     //! True if the response carries the id of another request.
     bool is_for_other_request(const response& received) const;
     //! True if the response carries no id, though an earlier request on this
@@ -87,9 +87,8 @@
 
     asio::ip::tcp::socket socket;
     response_parser parser;
-    std::uint64_t max_held_bytes;
-    std::shared_ptr<std::atomic<std::uint64_t>> held_bytes;
-    //! The part of held_bytes that this connection added.
+    std::shared_ptr<held_body_meter> held;
+    //! The part of it that this connection holds.
     std::uint64_t own_held_bytes{0};
     //! Bytes received since the current request was sent.
     std::uint64_t received_bytes{0};
--- a/src/http/internal/response_parser.cpp
+++ b/src/http/internal/response_parser.cpp
@@ -28,6 +28,7 @@
     http_parser_init(&this->parser, HTTP_RESPONSE);
     this->parser.data = this;
     this->parsed = {};
+    this->head_bytes = 0;
     this->header_name.clear();
     this->header_value.clear();
     this->header_value_seen = false;
@@ -66,6 +67,11 @@
     return error == HPE_OK ? progress::partial : progress::malformed;
 }
 
+std::uint64_t response_parser::held_bytes() const
+{
+    return this->head_bytes + this->parsed.body.size();
+}
+
 response response_parser::take()
 {
     return std::exchange(this->parsed, {});
@@ -87,6 +93,8 @@
     {
         return;
     }
+    this->head_bytes += sizeof(schema::header) + this->header_name.size() +
+                        this->header_value.size();
     this->parsed.headers.push_back(
         {std::exchange(this->header_name, {}),
          std::exchange(this->header_value, {})});
@@ -144,6 +152,7 @@
     if (parser->status_code < first_final_status)
     {
         self.parsed = {};
+        self.head_bytes = 0;
         return 0;
     }
     self.flush_header();
--- a/src/http/internal/response_parser.hpp
+++ b/src/http/internal/response_parser.hpp
@@ -42,6 +42,8 @@
 
     //! Moves the complete response out of the parser.
     response take();
+    //! Bytes that the response as parsed so far takes in memory.
+    std::uint64_t held_bytes() const;
     //! The response as parsed so far.
     const response& current() const;
 
@@ -63,6 +65,7 @@
     http_parser parser{};
     std::uint64_t max_body_bytes;
     response parsed;
+    std::uint64_t head_bytes{0};
     std::string header_name;
     std::string header_value;
     bool header_value_seen{false};
--- a/src/http/tests/endless_response_test.cpp
+++ b/src/http/tests/endless_response_test.cpp
@@ -8,7 +8,10 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <future>
+#include <memory>
 #include <thread>
+#include <vector>
 
 // Guards against a server that sends bytes without end: the transfer must end
 // at a bound, not at its deadline, and other transfers must go on.
@@ -171,3 +174,34 @@
     CHECK(two.get().outcome == transfer_outcome::too_large);
     CHECK(most_held > 0);
 }
+
+// Guards against many responses that each stay below a bound of their own and
+// together exceed the memory.
+TEST_CASE("many bodies without end stay within the limit of all together")
+{
+    auto limits = small_limits();
+    limits.max_answer_bytes = 1000 * one_mb;
+    constexpr std::size_t many = 64;
+    const std::string head = "HTTP/1.1 200 OK\r\nid: 1\r\n\r\n";
+    std::vector<std::unique_ptr<endless_server>> servers;
+    running_client client(limits);
+    std::vector<std::future<http::transfer_result>> results;
+    for (std::size_t i = 0; i < many; ++i)
+    {
+        // Each sends less than a sixteenth of the limit, and no more after it.
+        servers.push_back(std::make_unique<endless_server>(
+            head + std::string(400000, 'a'), std::string(1, 'a')));
+        results.push_back(client.start(servers.back()->port(), "1", {3000}));
+    }
+    std::uint64_t most_held = 0;
+    for (auto& result : results)
+    {
+        while (result.wait_for(std::chrono::milliseconds(1)) !=
+               std::future_status::ready)
+        {
+            most_held = std::max(most_held, client.held_bytes());
+        }
+    }
+    CHECK(most_held > limits.max_held_bytes / 2);
+    CHECK(most_held < limits.max_held_bytes + one_mb);
+}
