Read large requests one after the other when they fill the memory

Cause: nothing bounded what all requests hold together, and each body was copied up to six times. Change: while unanswered requests hold over 16 MB only the first large one is read on (http/internal/upload_gate, a socket that waits); bodies are moved, the server's request is dropped early, freed large buffers go back to the system; a body over the limit is read 4 MB further at most. Ruled out: lower limits for one body (four of half the size do the same); refusing at once (the size is known when most of it was read).

--- a/src/apps/node_main.cpp
+++ b/src/apps/node_main.cpp
@@ -5,11 +5,25 @@
 #include "schema/settings.hpp"
 
 #include <iostream>
+#include <malloc.h>
 
 namespace
 {
 using namespace bilberrytally;
 
+//! Buffers from this size on are returned to the system when they are freed.
+constexpr int returned_buffer_bytes = 256 << 10;
+//! Free memory at the end of the heap that is kept.
+constexpr int kept_heap_bytes = 512 << 10;
+
+//! Keeps the peak of memory near what is in use: by default the allocator keeps
+//! ever larger buffers once it has seen one.
+void return_large_buffers()
+{
+    mallopt(M_MMAP_THRESHOLD, returned_buffer_bytes);
+    mallopt(M_TRIM_THRESHOLD, kept_heap_bytes);
+}
+
 base::result<int> run(int argc, const char** argv)
 {
     BOOST_LEAF_AUTO(
@@ -30,6 +44,7 @@
         std::cout << line.value("settings") << ": valid\n";
         return 0;
     }
+    return_large_buffers();
     const app::structured_log log(
         argv[0], settings.log.level, settings.log.flush_s);
     BOOST_LEAF_AUTO(
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -20,7 +20,8 @@
     std::string address;
     std::uint32_t port{0};
     //! Requests with a larger body get status 413. Beyond four times the
-    //! limit (at least 64 KiB), the connection is closed without a response.
+    //! limit (at least 64 KiB, at most 4 MiB over it), the connection is closed
+    //! without a response.
     std::uint64_t max_body_bytes{0};
     //! Requests with more header bytes in total get status 431. A single header
     //! field beyond four times the limit (at least 64 KiB) closes the
@@ -28,6 +29,10 @@
     std::uint64_t max_header_bytes{0};
     //! Limit for reading one request.
     base::duration_ms read_timeout;
+    //! While the requests of all connections that were read and not answered
+    //! yet hold more, only one large one is read on at a time; 0 for no limit.
+    //! Binds all servers of the io_context.
+    std::uint64_t max_unanswered_bytes{0};
 };
 
 //! Sends the response to a request.
@@ -58,5 +63,8 @@
 
     //! Number of responses not yet written to their socket completely.
     virtual std::size_t unwritten_count() const = 0;
+
+    //! Body bytes of these responses.
+    virtual std::uint64_t unwritten_bytes() const = 0;
 };
 } // namespace bilberrytally::http
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http/http_server.hpp"
 
+#include "http/internal/gated_socket.hpp"
 #include "http/internal/pipeline_table.hpp"
 
 #include <restinio/all.hpp>
@@ -18,6 +19,8 @@
 constexpr std::uint64_t hard_limit_factor = 4;
 //! Lower bound of the hard limit, in bytes.
 constexpr std::uint64_t hard_limit_minimum = 64U << 10U;
+//! Most bytes over a limit that are read only to be refused.
+constexpr std::uint64_t max_refused_excess = 4U << 20U;
 //! RESTinio closes a connection whose request takes longer to be handled.
 constexpr std::chrono::hours handling_timeout{2};
 constexpr std::chrono::minutes write_timeout{10};
@@ -64,6 +67,7 @@
     using request_handler_t = std::function<restinio::request_handling_status_t(
         restinio::request_handle_t)>;
     using connection_state_listener_t = closed_listener;
+    using stream_socket_t = gated_socket;
 };
 
 using restinio_server = restinio::http_server_t<server_traits>;
@@ -103,38 +107,50 @@
     return total;
 }
 
-using response_counter = std::shared_ptr<std::atomic<std::size_t>>;
+//! The responses not yet written to their sockets, and their body bytes.
+struct unwritten_responses
+{
+    std::atomic<std::size_t> count{0};
+    std::atomic<std::uint64_t> bytes{0};
+};
+
+using unwritten_ptr = std::shared_ptr<unwritten_responses>;
 
 //! Counts a response until it is written or dropped.
 class unwritten_guard
 {
 public:
-    explicit unwritten_guard(response_counter unwritten_responses)
-        : unwritten_responses(std::move(unwritten_responses))
+    unwritten_guard(unwritten_ptr unwritten, std::uint64_t body_bytes)
+        : unwritten(std::move(unwritten)), body_bytes(body_bytes)
     {
-        ++*this->unwritten_responses;
+        ++this->unwritten->count;
+        this->unwritten->bytes += body_bytes;
     }
 
     ~unwritten_guard()
     {
-        --*this->unwritten_responses;
+        --this->unwritten->count;
+        this->unwritten->bytes -= this->body_bytes;
     }
 
     unwritten_guard(const unwritten_guard&) = delete;
     unwritten_guard& operator=(const unwritten_guard&) = delete;
 
 private:
-    response_counter unwritten_responses;
+    unwritten_ptr unwritten;
+    std::uint64_t body_bytes;
 };
 
+using response_builder =
+    restinio::response_builder_t<restinio::restinio_controlled_output_t>;
+
 void send_response(
-    const restinio::request_handle_t& incoming, response outgoing,
-    const response_counter& unwritten_responses)
+    response_builder& builder, response outgoing,
+    const unwritten_ptr& unwritten)
 {
     const restinio::http_status_code_t code{
         static_cast<std::uint16_t>(outgoing.status)};
-    auto builder =
-        incoming->create_response(restinio::http_status_line_t{code, "-"});
+    builder.header().status_line(restinio::http_status_line_t{code, "-"});
     for (auto& header : outgoing.headers)
     {
         builder.append_header(std::move(header.name), std::move(header.value));
@@ -143,9 +159,10 @@
     {
         builder.connection_close();
     }
+    auto guard =
+        std::make_shared<unwritten_guard>(unwritten, outgoing.body.size());
     builder.set_body(std::move(outgoing.body));
-    builder.done([guard = std::make_shared<unwritten_guard>(
-                      unwritten_responses)](const std::error_code&) {});
+    builder.done([guard = std::move(guard)](const std::error_code&) {});
 }
 
 //! A response that refuses a request as too large and closes the connection.
@@ -166,7 +183,9 @@
 //! Size up to which a request over \p limit is read in order to refuse it.
 std::uint64_t hard_limit(std::uint64_t limit)
 {
-    return std::max(limit * hard_limit_factor, hard_limit_minimum);
+    return std::max(
+        std::min(limit * hard_limit_factor, limit + max_refused_excess),
+        hard_limit_minimum);
 }
 
 class restinio_http_server : public http_server
@@ -175,7 +194,7 @@
     restinio_http_server(
         asio::io_context& context, const server_settings& server_options,
         request_handler on_request, closed_handler on_closed)
-        : unwritten_responses(std::make_shared<std::atomic<std::size_t>>(0)),
+        : unwritten(std::make_shared<unwritten_responses>()),
           pipelines(std::make_shared<pipeline_table>()),
           server(
               restinio::external_io_context(context),
@@ -210,7 +229,12 @@
 
     std::size_t unwritten_count() const override
     {
-        return *this->unwritten_responses;
+        return this->unwritten->count;
+    }
+
+    std::uint64_t unwritten_bytes() const override
+    {
+        return this->unwritten->bytes;
     }
 
 private:
@@ -248,56 +272,57 @@
                     .max_field_value_size(field_limit)
                     .max_body_size(hard_limit(server_options.max_body_bytes)))
             .request_handler(
-                [server_options, on_request,
-                 unwritten_responses = this->unwritten_responses,
-                 pipelines = this->pipelines](
-                    const restinio::request_handle_t& incoming)
+                [server_options, on_request, unwritten = this->unwritten,
+                 pipelines =
+                     this->pipelines](restinio::request_handle_t incoming)
                 {
                     handle(
-                        server_options, on_request, incoming,
-                        unwritten_responses, pipelines);
+                        server_options, on_request, std::move(incoming),
+                        unwritten, pipelines);
                     return restinio::request_accepted();
                 });
     }
 
     static void handle(
         const server_settings& server_options,
-        const request_handler& on_request,
-        const restinio::request_handle_t& incoming,
-        const response_counter& unwritten_responses,
-        const shared_pipelines& pipelines)
+        const request_handler& on_request, restinio::request_handle_t incoming,
+        const unwritten_ptr& unwritten, const shared_pipelines& pipelines)
     {
         const auto connection = incoming->connection_id();
         const auto number = pipelines->add(connection);
+        // Made now, since the request with its body is not kept until the
+        // response. Shared, since std::function needs a copyable object.
+        auto builder =
+            std::make_shared<response_builder>(incoming->create_response());
         auto received = to_request(*incoming);
+        incoming.reset();
         if (header_bytes(received) > server_options.max_header_bytes)
         {
             send_response(
-                incoming, too_large_response(431, "request headers too large"),
-                unwritten_responses);
+                *builder, too_large_response(431, "request headers too large"),
+                unwritten);
             return;
         }
         if (received.body.size() > server_options.max_body_bytes)
         {
             send_response(
-                incoming, too_large_response(413, "request body too large"),
-                unwritten_responses);
+                *builder, too_large_response(413, "request body too large"),
+                unwritten);
             return;
         }
         on_request(
             connection, std::move(received),
-            [incoming, unwritten_responses, pipelines, connection,
+            [builder, unwritten, pipelines, connection,
              number](response outgoing)
             {
                 // A response that closes the connection would discard those to
                 // the requests behind it.
                 outgoing.close &= pipelines->is_newest(connection, number);
-                send_response(
-                    incoming, std::move(outgoing), unwritten_responses);
+                send_response(*builder, std::move(outgoing), unwritten);
             });
     }
 
-    response_counter unwritten_responses;
+    unwritten_ptr unwritten;
     shared_pipelines pipelines;
     restinio_server server;
 };
@@ -307,6 +332,11 @@
     asio::io_context& context, const server_settings& settings,
     request_handler on_request, closed_handler on_closed)
 {
+    if (settings.max_unanswered_bytes > 0)
+    {
+        asio::use_service<upload_gate>(context).set_limit(
+            settings.max_unanswered_bytes);
+    }
     auto server = std::make_unique<restinio_http_server>(
         context, settings, std::move(on_request), std::move(on_closed));
     const auto place = settings.address + ":" + std::to_string(settings.port);
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -40,12 +40,12 @@
 }
 
 void caller_side::on_request(
-    std::uint64_t connection, const http::request& request,
-    http::respond respond)
+    std::uint64_t connection, http::request request, http::respond respond)
 {
     if (this->tables.platform_headers)
     {
-        this->on_routed_request(connection, request, std::move(respond));
+        this->on_routed_request(
+            connection, std::move(request), std::move(respond));
         return;
     }
     if (request.target == keys_path && request.method == "POST")
@@ -75,7 +75,8 @@
         respond(std::move(answer));
         return;
     }
-    auto new_call = this->make_call(connection, request, *policy, route);
+    auto new_call =
+        this->make_call(connection, std::move(request), *policy, route);
     new_call.reply = this->make_http_reply(new_call, std::move(respond));
     if (!this->take_while_stopping(new_call))
     {
@@ -161,7 +162,7 @@
 }
 
 outbound_call caller_side::make_call(
-    std::uint64_t connection, const http::request& request,
+    std::uint64_t connection, http::request request,
     const schema::service_policy& policy, const schema::route_policy& route)
 {
     outbound_call new_call;
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -39,8 +39,7 @@
     //! Handles a request of a caller or of the local backend server and passes
     //! the response to \p respond.
     void on_request(
-        std::uint64_t connection, const http::request& request,
-        http::respond respond);
+        std::uint64_t connection, http::request request, http::respond respond);
     //! Cancels the calls of a caller whose HTTP connection has closed.
     void on_connection_closed(std::uint64_t connection);
 
@@ -115,7 +114,7 @@
     //! Issues an idempotency key whose home is this node.
     std::string make_issued_key();
     outbound_call make_call(
-        std::uint64_t connection, const http::request& request,
+        std::uint64_t connection, http::request request,
         const schema::service_policy& policy,
         const schema::route_policy& route);
     //! Sets deadline, budget, root, depth and priority outside routed mode:
@@ -128,10 +127,9 @@
     answer_handler
     make_http_reply(const outbound_call& call, http::respond respond);
     void on_routed_request(
-        std::uint64_t connection, const http::request& request,
-        http::respond respond);
+        std::uint64_t connection, http::request request, http::respond respond);
     outbound_call make_routed_call(
-        std::uint64_t connection, const http::request& request,
+        std::uint64_t connection, http::request request,
         const directory::route_choice& choice);
     answer_handler
     make_routed_reply(const outbound_call& call, http::respond respond);
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -220,7 +220,7 @@
         return;
     }
     const auto inbound_id = this->targets.offer_local(
-        *call, deadline,
+        std::move(*call), deadline,
         [this, attempt](schema::answer answer) {
             this->on_attempt_end(attempt, {std::move(answer), true});
         });
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -28,10 +28,9 @@
 } // namespace
 
 void caller_side::on_routed_request(
-    std::uint64_t connection, const http::request& request,
-    http::respond respond)
+    std::uint64_t connection, http::request request, http::respond respond)
 {
-    const auto host = http::find_header(request.headers, "host");
+    const std::string host(http::find_header(request.headers, "host"));
     std::size_t route_count = 0;
     const auto choice = this->tables.routes.with(
         [&](directory::route_map& routes)
@@ -50,14 +49,15 @@
     if (!choice.matched_route)
     {
         this->tables.record_event(
-            {0, "no_route", 0, 0, std::string(host), "path=" + request.target});
+            {0, "no_route", 0, 0, host, "path=" + request.target});
         http::response answer;
         answer.status = not_found_status;
         answer.close = this->tables.draining;
         respond(std::move(answer));
         return;
     }
-    auto new_call = this->make_routed_call(connection, request, choice);
+    auto new_call =
+        this->make_routed_call(connection, std::move(request), choice);
     new_call.reply = this->make_routed_reply(new_call, std::move(respond));
     if (!this->take_while_stopping(new_call))
     {
@@ -68,7 +68,7 @@
 }
 
 outbound_call caller_side::make_routed_call(
-    std::uint64_t connection, const http::request& request,
+    std::uint64_t connection, http::request request,
     const directory::route_choice& choice)
 {
     const auto& platform_headers = *this->tables.platform_headers;
@@ -98,7 +98,7 @@
     call.headers = routed_headers(request.headers, platform_headers);
     call.headers.push_back(
         {platform_headers.caller_service, this->tables.settings.node.service});
-    call.body = request.body;
+    call.body = std::move(request.body);
     call.digest =
         base::hash_parts({call.service, call.method, call.path, call.body});
     call.repeatable = route.repeatable;
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -89,16 +89,18 @@
             settings.node.caller_port,
             settings.caller.max_body_bytes,
             settings.caller.max_header_bytes,
-            {settings.caller.read_timeout_ms}};
+            {settings.caller.read_timeout_ms},
+            settings.caller.max_unanswered_bytes};
         BOOST_LEAF_ASSIGN(
             this->caller_server,
             http::http_server::open(
                 this->context, server,
                 [this](
-                    std::uint64_t connection, const http::request& request,
-                    http::respond respond) {
+                    std::uint64_t connection, http::request request,
+                    http::respond respond)
+                {
                     this->outbound_calls.on_request(
-                        connection, request, std::move(respond));
+                        connection, std::move(request), std::move(respond));
                 },
                 [this](std::uint64_t connection)
                 { this->outbound_calls.on_connection_closed(connection); }));
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -61,7 +61,7 @@
 }
 
 std::uint64_t target_side::offer_local(
-    const schema::call& call, base::time_ms deadline, answer_handler reply)
+    schema::call call, base::time_ms deadline, answer_handler reply)
 {
     inbound_call new_call;
     new_call.message = call;
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -80,7 +80,7 @@
 
     //! Takes a call from this node's caller side; returns an id for cancel().
     std::uint64_t offer_local(
-        const schema::call& call, base::time_ms deadline, answer_handler reply);
+        schema::call call, base::time_ms deadline, answer_handler reply);
     void cancel(std::uint64_t inbound_id);
 
     //! Context for a nested call that the backend server makes while it serves
@@ -236,7 +236,7 @@
     std::vector<decisions::target_view> peer_targets() const;
     //! The request for the backend server; takes the body out of the call.
     http::transfer_request make_transfer(
-        std::uint64_t id, const inbound_call& call, base::time_ms now) const;
+        std::uint64_t id, inbound_call& call, base::time_ms now) const;
     void add_platform_headers(
         http::header_list& headers, const inbound_call& call,
         base::duration_ms remaining) const;
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -69,7 +69,7 @@
 } // namespace
 
 http::transfer_request target_side::make_transfer(
-    std::uint64_t id, const inbound_call& call, base::time_ms now) const
+    std::uint64_t id, inbound_call& call, base::time_ms now) const
 {
     const auto& backend = this->tables.settings.backend;
     const auto remaining = call.deadline - now;
@@ -77,7 +77,7 @@
     transfer.content.method = call.message.method;
     transfer.content.target = call.message.path;
     transfer.content.headers = call.message.headers;
-    transfer.content.body = call.message.body;
+    transfer.content.body = std::move(call.message.body);
     auto& headers = transfer.content.headers;
     transfer.host = backend.host;
     transfer.port = backend.port;
--- a/src/schema/settings.cpp
+++ b/src/schema/settings.cpp
@@ -70,6 +70,9 @@
     BOOST_LEAF_CHECK(fields.take(
         "caller", "max_answer_bytes", {false, 1024, 67108864},
         value.caller.max_answer_bytes));
+    BOOST_LEAF_CHECK(fields.take(
+        "caller", "max_unanswered_bytes", {false, 65536, 2147483647},
+        value.caller.max_unanswered_bytes));
     BOOST_LEAF_CHECK(fields.take(
         "caller", "max_held_bytes", {false, 1048576, 2147483647},
         value.caller.max_held_bytes));
--- a/src/schema/settings.hpp
+++ b/src/schema/settings.hpp
@@ -79,8 +79,12 @@
         std::uint32_t read_timeout_ms{15000};
         //! Largest response body, bytes.
         std::uint32_t max_answer_bytes{33554432};
-        //! Largest total size of the response bodies held in memory at a time,
-        //! bytes.
+        //! While requests that were read and not answered hold more, only one
+        //! large one is read on at a time, bytes.
+        std::uint32_t max_unanswered_bytes{16777216};
+        //! Largest total size of the response bodies held in memory at a time:
+        //! unfinished ones of the backend server, those sent to other nodes,
+        //! and those that callers have not read, each, bytes.
         std::uint32_t max_held_bytes{67108864};
 
         bool operator==(const caller_section&) const = default;
