Refuse calls whose responses find no memory

Cause: finished responses were counted nowhere, neither while they wait for the connection to the caller's node nor until the caller has read them. Change: the caller's node reserves memory as large as the last response of the route before it sends a call, and refuses the call otherwise (not run, with Retry-After); what comes unexpected is dropped (502). The target's node bounds what waits for the connection.

--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -39,6 +39,11 @@
     this->network = &network;
 }
 
+void caller_side::set_server(const http::http_server& new_server)
+{
+    this->server = &new_server;
+}
+
 void caller_side::on_request(
     std::uint64_t connection, http::request request, http::respond respond)
 {
@@ -174,7 +179,7 @@
     call.method = request.method;
     call.path = request.target;
     call.headers = end_to_end_headers(request.headers);
-    call.body = request.body;
+    call.body = std::move(request.body);
     call.digest =
         base::hash_parts({call.service, call.method, call.path, call.body});
     call.repeatable = route.repeatable;
@@ -229,7 +234,7 @@
     return [this, respond = std::move(respond), digest = call.message.digest,
             service = call.message.service, priority = call.message.priority,
             started = call.started,
-            wants_key = !call.message.key.empty()](const schema::answer& answer)
+            wants_key = !call.message.key.empty()](schema::answer answer)
     {
         const auto now = base::now();
         base::duration_ms retry_after{1000};
@@ -239,7 +244,9 @@
                 [&](routing_table& table)
                 { retry_after = table.resends.on_refusal(digest, now); });
         }
-        auto response = to_response(answer, retry_after);
+        const auto outcome = verdict_of(answer);
+        const auto reason = answer.reason;
+        auto response = to_response(std::move(answer), retry_after);
         if (wants_key)
         {
             response.headers.push_back(
@@ -247,7 +254,7 @@
         }
         response.close = this->tables.draining;
         this->tables.node_metrics.on_request(
-            service, verdict_of(answer), answer.reason, priority,
+            service, outcome, reason, priority,
             static_cast<double>((now - started).count) / ms_per_s);
         respond(std::move(response));
     };
@@ -280,9 +287,14 @@
                        ? schema::service_policy{}.retry_ratio_percent
                        : policy->retry_ratio_percent;
         });
+    bool has_room = false;
     this->tables.routing.with(
         [&](routing_table& table)
         {
+            const auto reserved = table.responses.reserve(
+                latency_group(new_call), this->unread_response_bytes());
+            has_room = reserved.has_value();
+            new_call.reserved_bytes = reserved.value_or(0);
             if (this->tables.platform_headers)
             {
                 table.routed_retries.on_first_attempt(service, base::now());
@@ -296,9 +308,32 @@
         });
     this->outbound_calls.with([&](outbound_call_table& table)
                               { table.insert(std::move(new_call)); });
+    if (!has_room)
+    {
+        this->complete(id, make_refusal(verdict::not_run, refusal::memory));
+        return;
+    }
     this->dispatch(id);
 }
 
+std::uint64_t caller_side::unread_response_bytes() const
+{
+    const auto* open_server = this->server.load();
+    return open_server == nullptr ? 0 : open_server->unwritten_bytes();
+}
+
+void caller_side::drop_if_too_large(schema::answer& answer)
+{
+    const auto held = this->unread_response_bytes();
+    const bool has_room = this->tables.routing.with(
+        [&](routing_table& table)
+        { return table.responses.has_room(answer.body.size(), held); });
+    if (!has_room)
+    {
+        answer = make_refusal(verdict::may_have_run, refusal::memory);
+    }
+}
+
 void caller_side::complete(std::uint64_t id, schema::answer answer)
 {
     const auto call = this->outbound_calls.with([&](outbound_call_table& table)
@@ -320,6 +355,12 @@
         // The last attempt did not run, but an earlier one may have.
         answer.verdict = static_cast<std::uint32_t>(verdict::may_have_run);
     }
+    if (call->reserved_bytes > 0)
+    {
+        this->tables.routing.with(
+            [&](routing_table& table)
+            { table.responses.release(call->reserved_bytes); });
+    }
     answer.unspent = call->budget.left();
     answer.descendants = call->dispatches;
     if (answer.struck || answer.reason == refusal::suspected)
@@ -336,6 +377,7 @@
         this->record_if_failed(*call, answer);
     }
     this->complete_key(*call, answer);
+    this->drop_if_too_large(answer);
     call->reply(std::move(answer));
 }
 
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -35,6 +35,8 @@
 
     //! Sets the network. Must be called before any request arrives.
     void set_network(transport::peer_network& network);
+    //! Sets the server that sends the responses, once it is open.
+    void set_server(const http::http_server& server);
 
     //! Handles a request of a caller or of the local backend server and passes
     //! the response to \p respond.
@@ -168,6 +170,10 @@
     void run_as_key_home(
         outbound_call new_call, std::uint64_t sequence, bool issued);
     //! Adds a call to the table and dispatches its first attempt.
+    //! Bytes of responses that wait for their callers to read them.
+    std::uint64_t unread_response_bytes() const;
+    //! Replaces a response for which there is no memory.
+    void drop_if_too_large(schema::answer& answer);
     void start_call(outbound_call new_call);
 
     //! Chooses a target and sends one attempt to it.
@@ -233,6 +239,7 @@
     node_tables& tables;
     target_side& targets;
     transport::peer_network* network{nullptr};
+    std::atomic<const http::http_server*> server{nullptr};
     base::guarded<outbound_call_table, outbound_calls_rank> outbound_calls;
 };
 } // namespace bilberrytally::node
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -309,6 +309,8 @@
             {
                 table.reroute_delays[latency_group(call)].on_answer(
                     now - state.dispatched, outcome.answer.descendants);
+                table.responses.on_response(
+                    latency_group(call), outcome.answer.body.size());
             }
             if (!outcome.answered && !outcome.abandoned)
             {
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -144,16 +144,18 @@
         call.started + call.latency_objective,
         call.caller_deadline};
     return [this, respond = std::move(respond),
-            facts = std::move(facts)](const schema::answer& answer)
+            facts = std::move(facts)](schema::answer answer)
     {
         const auto now = base::now();
-        const bool not_run = verdict_of(answer) == verdict::not_run;
+        const auto outcome = verdict_of(answer);
+        const auto reason = answer.reason;
         auto response = to_routed_response(
-            answer, not_run ? this->retry_after(facts, answer.reason, now)
-                            : base::duration_ms{0});
+            std::move(answer), outcome == verdict::not_run
+                                   ? this->retry_after(facts, reason, now)
+                                   : base::duration_ms{0});
         response.close = this->tables.draining;
         this->tables.node_metrics.on_request(
-            facts.service, verdict_of(answer), answer.reason, facts.priority,
+            facts.service, outcome, reason, facts.priority,
             static_cast<double>((now - facts.started).count) / ms_per_s);
         respond(std::move(response));
     };
--- a/src/node/internal/http_mapping.cpp
+++ b/src/node/internal/http_mapping.cpp
@@ -208,14 +208,14 @@
 }
 
 http::response
-to_routed_response(const schema::answer& answer, base::duration_ms retry_after)
+to_routed_response(schema::answer answer, base::duration_ms retry_after)
 {
     http::response response;
     const auto verdict = static_cast<base::verdict>(answer.verdict);
     if (verdict == base::verdict::ran)
     {
         response.status = answer.status;
-        response.body = answer.body;
+        response.body = std::move(answer.body);
         response.headers = end_to_end_headers(answer.headers);
         return response;
     }
@@ -264,15 +264,14 @@
     }
 }
 
-http::response
-to_response(const schema::answer& answer, base::duration_ms retry_after)
+http::response to_response(schema::answer answer, base::duration_ms retry_after)
 {
     const auto verdict = static_cast<base::verdict>(answer.verdict);
     if (verdict == base::verdict::ran)
     {
         http::response response;
         response.status = answer.status;
-        response.body = answer.body;
+        response.body = std::move(answer.body);
         response.headers = end_to_end_headers(answer.headers);
         response.headers.push_back(
             {std::string(verdict_header),
--- a/src/node/internal/http_mapping.hpp
+++ b/src/node/internal/http_mapping.hpp
@@ -73,7 +73,7 @@
 //! end_to_end_headers(), 503 with Retry-After where the request did not run,
 //! else 502, or 504 after a time-out.
 http::response
-to_routed_response(const schema::answer& answer, base::duration_ms retry_after);
+to_routed_response(schema::answer answer, base::duration_ms retry_after);
 
 //! Headers of a request outside routed mode, or of a response in either mode,
 //! that are passed on. Left out are hop-by-hop, time-out, trace and Host
@@ -83,7 +83,7 @@
 //! HTTP response with the verdict header; for a request that was not served
 //! also a problem document (RFC 9457), and Retry-After with status 503.
 http::response
-to_response(const schema::answer& answer, base::duration_ms retry_after);
+to_response(schema::answer answer, base::duration_ms retry_after);
 
 //! Response with a problem document for a request that did not become a call.
 http::response make_problem_response(
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -104,6 +104,7 @@
                 },
                 [this](std::uint64_t connection)
                 { this->outbound_calls.on_connection_closed(connection); }));
+        this->outbound_calls.set_server(*this->caller_server);
         this->wait_for_signal();
         this->tick();
         return {};
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -27,8 +27,13 @@
       events(this->settings.node.timeline_events),
       keys(max_key_records, key_lifetime)
 {
-    this->routing.with([&](routing_table& table)
-                       { table.random.seed(incarnation); });
+    this->routing.with(
+        [&](routing_table& table)
+        {
+            table.random.seed(incarnation);
+            table.responses = decisions::response_memory(
+                this->settings.caller.max_held_bytes);
+        });
 }
 
 std::optional<schema::service_policy>
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -6,6 +6,7 @@
 #include "decisions/key_records.hpp"
 #include "decisions/policy_variant.hpp"
 #include "decisions/resend_limiter.hpp"
+#include "decisions/response_memory.hpp"
 #include "decisions/retry_after.hpp"
 #include "decisions/retry_budget.hpp"
 #include "decisions/slow_attempt_timeout.hpp"
@@ -43,6 +44,8 @@
     decisions::resend_limiter resends;
     //! By latency group.
     std::map<std::string, decisions::slow_attempt_timeout> reroute_delays;
+    //! Memory for the responses of outbound calls.
+    decisions::response_memory responses{UINT64_MAX};
     std::mt19937_64 random;
 };
 
--- a/src/node/internal/outbound_call.hpp
+++ b/src/node/internal/outbound_call.hpp
@@ -74,6 +74,9 @@
     //! Time within which the caller needs the response; 0 if not stated.
     base::duration_ms latency_objective;
 
+    //! Memory reserved for the response, in bytes.
+    std::uint64_t reserved_bytes{0};
+
     //! An earlier attempt of this call may have run.
     bool earlier_may_have_run{false};
 
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -14,6 +14,8 @@
 
 constexpr base::duration_ms load_report_interval{200};
 constexpr std::size_t max_probe_run_queue = 256;
+//! Bodies up to this size are passed on whatever waits on the connections.
+constexpr std::size_t small_body_bytes = 64U << 10U;
 //! Long work is refused while held memory exceeds this fraction (1/n) of
 //! caller.max_held_bytes.
 constexpr std::uint64_t long_work_memory_divisor = 2;
@@ -64,7 +66,7 @@
     schema::call call, base::time_ms deadline, answer_handler reply)
 {
     inbound_call new_call;
-    new_call.message = call;
+    new_call.message = std::move(call);
     new_call.deadline = deadline;
     new_call.arrived = base::now();
     new_call.reply = std::move(reply);
@@ -347,6 +349,18 @@
                 this->tables.event_loop.frame_delay_ms());
             answer.load.draining = this->is_draining(call.message);
         });
+    const bool has_room =
+        answer.body.size() <= small_body_bytes ||
+        this->network->unwritten_bytes() + answer.body.size() <=
+            this->tables.settings.caller.max_held_bytes;
+    if (!has_room)
+    {
+        // The caller's node reads more slowly than responses come.
+        answer.verdict =
+            static_cast<std::uint32_t>(base::verdict::may_have_run);
+        answer.reason = refusal::memory;
+        answer.body.clear();
+    }
     this->network->send(
         call.link, transport::frame_kind::answer, transport::encode(answer), 0);
 }
@@ -452,6 +466,7 @@
 void target_side::tick(base::time_ms now)
 {
     this->monitor.tick(now);
+    this->query_crash_reports(now);
     std::vector<std::uint64_t> expired;
     const auto actions = this->inbound.with(
         [&](inbound_table& table)
@@ -466,7 +481,6 @@
             }
             return table.admission.advance(now);
         });
-    this->query_crash_reports(now);
     this->apply(actions);
     for (const auto id : expired)
     {
--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -142,6 +142,7 @@
 void peer_link::send_hello()
 {
     this->queue.push_front({frame_kind::hello, encode(this->local_hello), 0});
+    this->unwritten_body_bytes += this->queue.front().body.size();
     this->write_next();
 }
 
@@ -159,6 +160,7 @@
         }
         return;
     }
+    this->unwritten_body_bytes += message.body.size();
     this->queue.push_back(std::move(message));
     this->write_next();
     this->update_unwritten_count();
@@ -169,6 +171,11 @@
     return this->unwritten_messages;
 }
 
+std::uint64_t peer_link::unwritten_bytes() const
+{
+    return this->unwritten_body_bytes;
+}
+
 void peer_link::update_unwritten_count()
 {
     this->unwritten_messages =
@@ -209,10 +216,19 @@
         });
 }
 
-void peer_link::fill_batch()
+void peer_link::clear_batch()
 {
+    for (const auto& message : this->batch)
+    {
+        this->unwritten_body_bytes -= message.body.size();
+    }
     this->batch.clear();
     this->batch_headers.clear();
+}
+
+void peer_link::fill_batch()
+{
+    this->clear_batch();
     std::size_t batch_bytes = 0;
     while (!this->queue.empty() && batch_bytes < max_batch_bytes)
     {
@@ -228,7 +244,11 @@
             this->peer_session,
             base::now().count,
             this->events.logical_time()};
-        if (!this->partitioned)
+        if (this->partitioned)
+        {
+            this->unwritten_body_bytes -= message.body.size();
+        }
+        else
         {
             ++this->next_sequence;
             batch_bytes += message.body.size();
@@ -378,6 +398,7 @@
         this->peer_instance, this->peer, this->established, {}};
     for (const auto& message : this->queue)
     {
+        this->unwritten_body_bytes -= message.body.size();
         if (message.call != 0)
         {
             loss.unsent_calls.push_back(message.call);
--- a/src/transport/internal/peer_network.cpp
+++ b/src/transport/internal/peer_network.cpp
@@ -266,6 +266,20 @@
         });
 }
 
+std::uint64_t peer_network::unwritten_bytes()
+{
+    return this->table.with(
+        [](auto& table)
+        {
+            std::uint64_t total = 0;
+            for (const auto& [id, item] : table.by_id)
+            {
+                total += item.link->unwritten_bytes();
+            }
+            return total;
+        });
+}
+
 void peer_network::set_draining(bool draining)
 {
     this->table.with([&](auto& table)
--- a/src/transport/peer_link.hpp
+++ b/src/transport/peer_link.hpp
@@ -90,6 +90,9 @@
     //! Number of messages not yet written to the socket completely.
     std::size_t unwritten_count() const;
 
+    //! Bytes of their bodies.
+    std::uint64_t unwritten_bytes() const;
+
     //! Closes the connection; on_down follows.
     void close();
 
@@ -125,6 +128,8 @@
     void reject(frame_error error);
     void set_unresponsive(bool unresponsive);
     void update_unwritten_count();
+    //! Removes the messages that were written.
+    void clear_batch();
     void disconnect();
 
     asio::strand<asio::io_context::executor_type> strand;
@@ -152,6 +157,7 @@
     delay_meter delays;
     std::deque<outgoing> queue;
     std::atomic<std::size_t> unwritten_messages{0};
+    std::atomic<std::uint64_t> unwritten_body_bytes{0};
     //! Messages in write with their headers. One write takes all queued
     //! messages, up to a bound, since each write costs a turn of the event
     //! loop.
--- a/src/transport/peer_network.hpp
+++ b/src/transport/peer_network.hpp
@@ -61,6 +61,9 @@
     //! to their socket completely.
     std::size_t unwritten_count();
 
+    //! Bytes of the messages on all connections that are not yet written.
+    std::uint64_t unwritten_bytes();
+
     //! Sets the draining flag in the hello of connections made from now on.
     void set_draining(bool draining);
 
