End responses that have no body with their head

Cause: the parser waited for a body that such a response never has. Change: a 204 or 304 ends with its head, whatever length it states. Shown: a new case of pooled_client_test; the program before waits.

--- a/src/http/internal/response_parser.cpp
+++ b/src/http/internal/response_parser.cpp
@@ -10,6 +10,9 @@
 {
 //! Responses below this status (1xx) are interim; the final one follows.
 constexpr unsigned first_final_status = 200;
+//! Responses with these have no body, whatever length they state (RFC 9110).
+constexpr unsigned no_content_status = 204;
+constexpr unsigned not_modified_status = 304;
 
 response_parser& self_of(http_parser* parser)
 {
@@ -130,8 +133,11 @@
     auto& self = self_of(parser);
     self.flush_header();
     self.parsed.status = parser->status_code;
+    const bool without_body = self.head_request ||
+                              parser->status_code == no_content_status ||
+                              parser->status_code == not_modified_status;
     // Returning 1 tells http_parser that no body follows.
-    return self.head_request ? 1 : 0;
+    return without_body ? 1 : 0;
 }
 
 int response_parser::on_body(http_parser* parser, const char* data, size_t size)
--- a/src/http/tests/pooled_client_test.cpp
+++ b/src/http/tests/pooled_client_test.cpp
@@ -110,3 +110,19 @@
     CHECK(silent.outcome == transfer_outcome::timed_out);
     CHECK(client.get(server.port(), "4").content.body == "four");
 }
+
+// Guards against waiting until the deadline for a body that never comes.
+TEST_CASE("a response that can have no body ends with its head")
+{
+    for (const std::string status : {"204 No Content", "304 Not Modified"})
+    {
+        raw_server server(
+            {{{"HTTP/1.1 " + status + "\r\nid: 1\r\ncontent-length: 5\r\n\r\n"},
+              {answer("2", "two")}}});
+        running_client client;
+        const auto result = client.get(server.port(), "1");
+        CHECK(result.outcome == transfer_outcome::answered);
+        CHECK(result.content.body.empty());
+        CHECK(client.get(server.port(), "2").content.body == "two");
+    }
+}
