Refuse waiting calls of a stopping node by their deadline

Callers would see: a call that waits for a slot beside a stopping node is refused although it ends in time, since the port's closing refused all of them. Change: only those are refused whose deadline comes after the end of the process.

--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -472,9 +472,9 @@
     void close_port()
     {
         this->caller_server->close();
-        this->tables.latest_deadline_ms =
-            this->stop_schedule->latest_deadline().count;
-        this->inbound_calls.refuse_waiting(schema::refusal::draining);
+        const auto latest_deadline = this->stop_schedule->latest_deadline();
+        this->tables.latest_deadline_ms = latest_deadline.count;
+        this->inbound_calls.refuse_waiting(latest_deadline);
     }
 
     void force_stop(const char* cause)
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -435,20 +435,27 @@
     }
 }
 
-void target_side::refuse_waiting(schema::refusal reason)
+void target_side::refuse_waiting(base::time_ms latest_deadline)
 {
-    std::vector<std::uint64_t> on_hold;
-    const auto actions = this->inbound.with(
+    std::vector<std::uint64_t> too_late;
+    this->inbound.with(
         [&](inbound_table& table)
         {
-            on_hold.assign(
-                table.probe_run_queue.begin(), table.probe_run_queue.end());
-            return table.admission.refuse_all(reason);
+            for (const auto& [id, call] : table.calls)
+            {
+                const bool waits = call.state == call_state::on_hold ||
+                                   (call.state == call_state::waiting &&
+                                    call.deadline > latest_deadline &&
+                                    table.admission.cancel_waiting(id));
+                if (waits && call.deadline > latest_deadline)
+                {
+                    too_late.push_back(id);
+                }
+            }
         });
-    this->apply(actions);
-    for (const auto id : on_hold)
+    for (const auto id : too_late)
     {
-        this->refuse(id, reason);
+        this->refuse(id, refusal::draining);
     }
 }
 
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -98,8 +98,9 @@
         std::uint64_t inbound_id, std::uint32_t budget,
         std::uint32_t dispatches);
 
-    //! Refuses the calls that wait for a free slot or for a probe run.
-    void refuse_waiting(schema::refusal reason);
+    //! Refuses the calls that wait for a free slot or for a probe run and whose
+    //! deadline is later, since they might be cut by the end of the process.
+    void refuse_waiting(base::time_ms latest_deadline);
 
     void on_crash_report(const schema::crash_report& report);
     //! Sends a node of the same service the crash reports in force.
--- a/tests/system/test_stops.py
+++ b/tests/system/test_stops.py
@@ -117,6 +117,26 @@
             self.assertEqual(one.node.wait(30), 0)
             self.assertNotIn("late", fleet.executions())
 
+    def test_calls_that_wait_at_a_stopping_target_are_refused(self):
+        """Guards against calls that a stopping node starts late and then cuts."""
+        settings = {"node": {"drain_limit_ms": 3000}}
+        services = {"events": {"targets": 1, "slots": 1}, "other": {"targets": 1}}
+        with Fleet(services, settings) as fleet:
+            fleet.set_up([policy("events", slots=1, max_wait_ms=60000, timeout_ms=20000, routes=[
+                route("/read", repeatable=False, key_required=False)]), policy("other")])
+            events, other = fleet.instances
+            calls = [http.client.HTTPConnection(HOST, other.caller_port, timeout=10)
+                     for _ in range(2)]
+            calls[0].request("GET", "/read?ms=2000&id=first", headers={"Host": "events"})
+            wait_for(lambda: "first" in fleet.executions(), 5, "the first run")
+            calls[1].request("GET", "/read?ms=2000&id=second", headers={"Host": "events"})
+            time.sleep(0.2)
+            events.node.send_signal(signal.SIGTERM)
+            self.assertEqual(calls[1].getresponse().status, 503)
+            self.assertEqual(calls[0].getresponse().status, 200)
+            self.assertEqual(events.node.wait(30), 0)
+            self.assertNotIn("second", fleet.executions())
+
     def test_leaving_backend_server_gets_no_new_work(self):
         with Fleet({"events": {"targets": 3, "slots": 40}}) as fleet:
             fleet.set_up([POLICY])
