Split the limits of the caller's side into a file of their own

Moves only: what bounds calls by the end of the process and by memory leaves caller_side.cpp (caller_side_limits.cpp), the id of the local backend server moves to the file on crashes that uses it.

--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -108,33 +108,6 @@
     this->route_by_key(std::move(new_call));
 }
 
-bool caller_side::take_while_stopping(outbound_call& call) const
-{
-    const auto latest = this->tables.latest_deadline();
-    if (call.deadline <= latest)
-    {
-        return true;
-    }
-    if (call.parent == 0)
-    {
-        return false;
-    }
-    call.deadline = latest;
-    return latest > base::now();
-}
-
-void caller_side::refuse_stopping(const outbound_call& call)
-{
-    this->tables.record_event(
-        {0, "refused_while_stopping", call.message.root, call.id,
-         call.message.service, ""});
-    if (call.parent != 0)
-    {
-        this->targets.return_budget(call.parent, call.budget.left(), 0);
-    }
-    call.reply(make_refusal_without_home(call.message, refusal::draining));
-}
-
 void caller_side::refuse_budget_exhausted(const outbound_call& call)
 {
     this->tables.record_event(
@@ -316,24 +289,6 @@
     this->dispatch(id);
 }
 
-std::uint64_t caller_side::unread_response_bytes() const
-{
-    const auto* open_server = this->server.load();
-    return open_server == nullptr ? 0 : open_server->unwritten_bytes();
-}
-
-void caller_side::drop_if_too_large(schema::answer& answer)
-{
-    const auto held = this->unread_response_bytes();
-    const bool has_room = this->tables.routing.with(
-        [&](routing_table& table)
-        { return table.responses.has_room(answer.body.size(), held); });
-    if (!has_room)
-    {
-        answer = make_refusal(verdict::may_have_run, refusal::memory);
-    }
-}
-
 void caller_side::complete(std::uint64_t id, schema::answer answer)
 {
     const auto call = this->outbound_calls.with([&](outbound_call_table& table)
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -134,25 +134,6 @@
            target.port == local_node.node_port;
 }
 
-std::string target_side::local_instance() const
-{
-    const auto& local_node = this->tables.settings.node;
-    std::string instance = local_node.instance;
-    this->tables.with_targets(
-        local_node.service,
-        [&](auto& targets, routing_table&)
-        {
-            for (const auto& row : targets.view(base::now()))
-            {
-                if (this->is_local(row.address))
-                {
-                    instance = row.address.instance;
-                }
-            }
-        });
-    return instance;
-}
-
 bool target_side::is_draining(const schema::call& call) const
 {
     bool draining = this->tables.draining || this->monitor.is_draining();
--- a/src/node/internal/target_side_crashes.cpp
+++ b/src/node/internal/target_side_crashes.cpp
@@ -25,6 +25,25 @@
 }
 } // namespace
 
+std::string target_side::local_instance() const
+{
+    const auto& local_node = this->tables.settings.node;
+    std::string instance = local_node.instance;
+    this->tables.with_targets(
+        local_node.service,
+        [&](auto& targets, routing_table&)
+        {
+            for (const auto& row : targets.view(base::now()))
+            {
+                if (this->is_local(row.address))
+                {
+                    instance = row.address.instance;
+                }
+            }
+        });
+    return instance;
+}
+
 void target_side::check_after_disconnect(
     std::uint64_t id, const schema::answer& answer)
 {
