Take no call once a node has decided to exit

Between that decision and the end of the worker threads a request could still be read, passed on and cut. Calls are refused from then on.

--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -487,6 +487,8 @@
 
     void stop(int code)
     {
+        // Until the workers have ended, requests still arrive.
+        this->tables.latest_deadline_ms = INT64_MIN;
         const std::scoped_lock lock(this->stop_mutex);
         this->stopped = true;
         this->exit_code = code;
