Read again: one check for the own node, a simpler upload gate

No behaviour changes. The target's side had written caller_side::is_local_node again; both call node_tables::is_local now. Taking a call out of the queue stood twice in target_side, once with its deadline checked twice; it is stop_waiting now. The upload gate kept two maps and a number for what one set of places and the upload itself hold.

--- a/src/http/internal/upload_gate.hpp
+++ b/src/http/internal/upload_gate.hpp
@@ -3,9 +3,9 @@
 #include <asio/execution_context.hpp>
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 
 namespace bilberrytally::http
 {
@@ -24,7 +24,7 @@
     class upload
     {
     public:
-        upload(upload_gate& gate, std::uint64_t number);
+        explicit upload(upload_gate& gate);
         ~upload();
         upload(const upload&) = delete;
         upload& operator=(const upload&) = delete;
@@ -36,9 +36,12 @@
         void on_response();
 
     private:
+        friend class upload_gate;
+
         upload_gate& gate;
-        std::uint64_t number;
         std::uint64_t bytes{0};
+        //! Place in the order in which requests became large; 0 while small.
+        std::uint64_t place{0};
     };
 
     explicit upload_gate(asio::execution_context& context);
@@ -48,17 +51,14 @@
 
 private:
     void shutdown() override;
-    void
-    change(std::uint64_t number, std::uint64_t before, std::uint64_t after);
-    bool may_read(std::uint64_t number, std::uint64_t bytes);
+    void set_bytes(upload& changed, std::uint64_t bytes);
+    bool may_read(const upload& asking);
 
     std::mutex mutex;
     std::uint64_t limit{UINT64_MAX};
     std::uint64_t total{0};
-    std::uint64_t last_number{0};
-    std::uint64_t last_start{0};
-    //! Connections with a large request, by the order in which it became large.
-    std::map<std::uint64_t, std::uint64_t> large_by_start;
-    std::map<std::uint64_t, std::uint64_t> start_of_large;
+    std::uint64_t last_place{0};
+    //! Places of the large requests.
+    std::set<std::uint64_t> large;
 };
 } // namespace bilberrytally::http
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -179,7 +179,6 @@
     //! Chooses a target and sends one attempt to it.
     void dispatch(std::uint64_t id);
     //! True if \p target is this node.
-    bool is_local_node(const decisions::target_address& target) const;
     //! Chooses a target; sets \p reason where there is none.
     std::optional<decisions::target_address>
     choose_target(const outbound_call& call, schema::refusal& reason);
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -162,7 +162,7 @@
         this->refuse_dispatch(id, reason);
         return;
     }
-    if (this->is_local_node(*target))
+    if (this->tables.is_local(*target))
     {
         this->dispatch_local(id, attempt);
         return;
@@ -170,13 +170,6 @@
     this->dispatch_remote(id, attempt, *target);
 }
 
-bool caller_side::is_local_node(const decisions::target_address& target) const
-{
-    const auto& local_node = this->tables.settings.node;
-    return target.host == local_node.address &&
-           target.port == local_node.node_port;
-}
-
 void caller_side::refuse_dispatch(std::uint64_t id, schema::refusal reason)
 {
     schema::answer answer;
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -47,6 +47,12 @@
         });
 }
 
+bool node_tables::is_local(const decisions::target_address& target) const
+{
+    return target.host == this->settings.node.address &&
+           target.port == this->settings.node.node_port;
+}
+
 base::time_ms node_tables::latest_deadline() const
 {
     return {this->latest_deadline_ms};
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -127,13 +127,6 @@
     return std::nullopt;
 }
 
-bool target_side::is_local(const decisions::target_address& target) const
-{
-    const auto& local_node = this->tables.settings.node;
-    return target.host == local_node.address &&
-           target.port == local_node.node_port;
-}
-
 bool target_side::is_draining(const schema::call& call) const
 {
     bool draining = this->tables.draining || this->monitor.is_draining();
@@ -162,7 +155,7 @@
         call.message.service, [&](auto& targets, routing_table&)
         { owner = targets.probe_target(call.message.digest, excluded); });
     const auto decision = table.quarantine.check(
-        call.message.digest, owner && this->is_local(*owner), now);
+        call.message.digest, owner && this->tables.is_local(*owner), now);
     switch (decision)
     {
     case decisions::quarantine_decision::pass:
@@ -364,6 +357,14 @@
     }
 }
 
+bool target_side::stop_waiting(
+    inbound_table& table, std::uint64_t id, const inbound_call& call)
+{
+    return call.state == call_state::on_hold ||
+           (call.state == call_state::waiting &&
+            table.admission.cancel_waiting(id));
+}
+
 void target_side::cancel(std::uint64_t id)
 {
     std::uint64_t transfer_id = 0;
@@ -377,9 +378,7 @@
                 return;
             }
             transfer_id = found->second.transfer_id;
-            waiting = found->second.state == call_state::on_hold ||
-                      (found->second.state == call_state::waiting &&
-                       table.admission.cancel_waiting(id));
+            waiting = stop_waiting(table, id, found->second);
         });
     if (waiting)
     {
@@ -424,11 +423,8 @@
         {
             for (const auto& [id, call] : table.calls)
             {
-                const bool waits = call.state == call_state::on_hold ||
-                                   (call.state == call_state::waiting &&
-                                    call.deadline > latest_deadline &&
-                                    table.admission.cancel_waiting(id));
-                if (waits && call.deadline > latest_deadline)
+                if (call.deadline > latest_deadline &&
+                    stop_waiting(table, id, call))
                 {
                     too_late.push_back(id);
                 }
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -182,11 +182,12 @@
 
     std::optional<removed_call>
     remove(inbound_table& table, std::uint64_t id) const;
+    //! Takes a call out of the queue; false if it does not wait.
+    static bool stop_waiting(
+        inbound_table& table, std::uint64_t id, const inbound_call& call);
     std::uint64_t add(inbound_call call);
     std::string request_id(const schema::call& call) const;
     void admit(std::uint64_t id);
-    //! True if this is the node beside the target.
-    bool is_local(const decisions::target_address& target) const;
     //! Instance id of the local backend server: as it is listed, or as the
     //! settings name it while it is not listed.
     std::string local_instance() const;
--- a/src/node/internal/target_side_crashes.cpp
+++ b/src/node/internal/target_side_crashes.cpp
@@ -35,7 +35,7 @@
         {
             for (const auto& row : targets.view(base::now()))
             {
-                if (this->is_local(row.address))
+                if (this->tables.is_local(row.address))
                 {
                     instance = row.address.instance;
                 }
@@ -227,7 +227,8 @@
         this->tables.settings.node.service, [&](auto& targets, routing_table&)
         { peers = targets.view(base::now()); });
     std::erase_if(
-        peers, [this](const auto& row) { return this->is_local(row.address); });
+        peers,
+        [this](const auto& row) { return this->tables.is_local(row.address); });
     return peers;
 }
 
