Log calls that are sent to a target known to be leaving

No line told when a call was chosen, how long it waited at the target's node and what both nodes knew, so that the hypotheses of docs/incidents/requests-after-leaving.md could not be told apart. The target table remembers since when a target is listed as leaving or gone. No call is handled differently.

--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -17,8 +17,8 @@
 constexpr double latency_weight = 0.2;
 //! Weight of a call in the moving average of the share of failed calls.
 constexpr double failed_share_weight = 0.05;
-//! How long the statement of a target that is not listed is remembered.
-constexpr base::duration_ms stated_leaving_lifetime{600000};
+//! How long it is remembered that a target which is not listed was leaving.
+constexpr base::duration_ms leaving_lifetime{600000};
 //! Value of `floor` in a load report of a target that sheds no class.
 constexpr std::uint32_t no_shed_threshold = 255;
 } // namespace
@@ -54,6 +54,7 @@
 
 void target_table::apply(const schema::instance_list& list, base::time_ms now)
 {
+    this->update_listed_leaving(list, now);
     std::set<std::string> listed;
     for (const auto& instance : list.instances)
     {
@@ -84,6 +85,42 @@
     this->update_subset();
 }
 
+void target_table::update_listed_leaving(
+    const schema::instance_list& list, base::time_ms now)
+{
+    auto& times = this->listed_leaving_times;
+    std::erase_if(
+        times, [&](const auto& entry)
+        { return now - entry.second >= leaving_lifetime; });
+    std::set<std::string> live;
+    for (const auto& instance : list.instances)
+    {
+        if (instance.state == schema::instance_state::leaving)
+        {
+            times.try_emplace(instance.id, now);
+            continue;
+        }
+        live.insert(instance.id);
+        times.erase(instance.id);
+    }
+    for (const auto& [id, known] : this->targets)
+    {
+        if (live.count(id) == 0)
+        {
+            times.try_emplace(id, now);
+        }
+    }
+}
+
+std::optional<base::time_ms>
+target_table::listed_leaving_since(const std::string& instance) const
+{
+    const auto found = this->listed_leaving_times.find(instance);
+    return found == this->listed_leaving_times.end()
+               ? std::nullopt
+               : std::optional(found->second);
+}
+
 void target_table::on_stated_leaving(
     const std::string& instance, base::time_ms now)
 {
@@ -116,7 +153,7 @@
             const auto& [instance, statement] = entry;
             const auto found = this->targets.find(instance);
             return found == this->targets.end()
-                       ? now - statement.stated_at >= stated_leaving_lifetime
+                       ? now - statement.stated_at >= leaving_lifetime
                        : found->second.started_at_ms > statement.started_at_ms;
         });
 }
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -150,6 +150,11 @@
     //! True if the target stated that it is leaving and has not started again.
     bool has_stated_leaving(const std::string& instance) const;
 
+    //! Since when a target is listed as leaving, or has been dropped from the
+    //! list; nothing if it is listed as live or was never listed.
+    std::optional<base::time_ms>
+    listed_leaving_since(const std::string& instance) const;
+
     //! Records the state that the node at an address reports of itself, which
     //! also proves it reachable.
     void on_node_state(
@@ -224,6 +229,9 @@
     //! Forgets statements of targets that have started again, and old ones of
     //! targets that are not listed any more.
     void update_stated_leaving(base::time_ms now);
+    //! Records which targets the list marks as leaving or has just dropped.
+    void
+    update_listed_leaving(const schema::instance_list& list, base::time_ms now);
     target_state state_of(const target& candidate, base::time_ms now) const;
     //! Expected cost of one more call: load times latency, higher for a target
     //! that warms up. Lower is better.
@@ -296,5 +304,8 @@
     std::unordered_map<std::string, target> targets;
     //! By instance. Kept apart from the targets, which the list may drop.
     std::unordered_map<std::string, stated_leaving> leaving;
+    //! When the list first marked a target as leaving or dropped it, by
+    //! instance.
+    std::unordered_map<std::string, base::time_ms> listed_leaving_times;
 };
 } // namespace bilberrytally::decisions
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -224,6 +224,7 @@
                                      ? this->long_poll_timeout(nodes)
                                      : announcing_long_poll_timeout;
             state.watcher->tick(now, timeout);
+            this->tables.directory_revision = state.view.revision();
             return state.view.tick(now);
         });
     this->apply(change);
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -116,6 +116,8 @@
     //! Calls with a later deadline are not taken, in ms on the monotonic clock.
     //! Set late in a planned stop, after which this process answers nothing.
     std::atomic<std::int64_t> latest_deadline_ms{INT64_MAX};
+    //! Store revision up to which the targets are known, in routed mode.
+    std::atomic<std::uint64_t> directory_revision{0};
     //! Set once the id of a nested call has identified its parent call.
     std::atomic<bool> parent_ids_seen{false};
     //! Time of the last failure of an outbound call, in ms on the monotonic
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -59,6 +59,7 @@
     new_call.deadline = now + base::duration_ms{call.remaining_ms} - delay;
     new_call.message = std::move(call);
     new_call.arrived = now;
+    new_call.transit = delay;
     this->admit(this->add(std::move(new_call)));
 }
 
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -134,6 +134,8 @@
         transport::link_id link{0};
         base::time_ms deadline;
         base::time_ms arrived;
+        //! How long the call may have waited in socket buffers before.
+        base::duration_ms transit;
         base::time_ms started;
         decisions::request_retry_budget budget{0};
         std::uint32_t nested_dispatches{0};
@@ -199,6 +201,9 @@
     check_quarantine(inbound_table& table, std::uint64_t id, base::time_ms now);
     void apply(const decisions::admission_actions& actions);
     void start(std::uint64_t id);
+    //! Logs that a call is sent to a target that this node has listed as
+    //! leaving.
+    void log_if_leaving(const inbound_call& call, base::time_ms now) const;
     void on_transfer(std::uint64_t id, http::transfer_result result);
     void check_after_disconnect(std::uint64_t id, const schema::answer& answer);
     //! Reports the crash of the backend server while the call was in flight. \p
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -1,6 +1,8 @@
 #include "node/internal/http_mapping.hpp"
 #include "node/internal/target_side.hpp"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <array>
 
@@ -146,6 +148,7 @@
             root = call.message.root;
             call.state = call_state::running;
             call.started = now;
+            this->log_if_leaving(call, now);
             transfer = this->make_transfer(id, call, now);
         });
     if (expired)
@@ -173,6 +176,27 @@
         });
 }
 
+void target_side::log_if_leaving(
+    const inbound_call& call, base::time_ms now) const
+{
+    const auto& message = call.message;
+    std::optional<base::time_ms> since;
+    this->tables.with_targets(
+        message.service, [&](auto& targets, routing_table&)
+        { since = targets.listed_leaving_since(message.expected_instance); });
+    if (!since)
+    {
+        return;
+    }
+    LOG(WARNING) << "event=sent_while_leaving id=" << this->request_id(message)
+                 << " target=" << message.expected_instance
+                 << " listed_leaving_ms=" << (now - *since).count
+                 << " waited_ms=" << (now - call.arrived).count
+                 << " transit_ms=" << call.transit.count
+                 << " caller_revision=" << message.directory_revision
+                 << " revision=" << this->tables.directory_revision;
+}
+
 schema::answer target_side::to_answer(
     const schema::call& call, http::transfer_result& result,
     std::uint32_t shed_status, bool nested_call_failed) const
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -164,6 +164,9 @@
     std::uint32_t send_number{0};
     //! The only instance that may run the call; empty for any.
     std::string expected_instance{};
+    //! Store revision up to which the sender knew the targets when it chose
+    //! one; 0 if none is read from a store.
+    std::uint64_t directory_revision{0};
     //! Ids of the backend server crashes that happened while this request was
     //! in flight.
     std::vector<std::string> struck_by{};
@@ -182,8 +185,8 @@
             this->headers, this->body, this->digest, this->root, this->depth,
             this->priority, this->remaining_ms, this->budget, this->rerun,
             this->repeatable, this->long_work, this->key, this->send_number,
-            this->expected_instance, this->struck_by, this->trace_parent,
-            this->trace_state);
+            this->expected_instance, this->directory_revision, this->struck_by,
+            this->trace_parent, this->trace_state);
     }
 };
 //! The outcome of a call.
