Plan no probe run of a suspected request at a leaving target

Callers saw requests reach a firmware target up to 3 s after it had said that it leaves (DRAIN). Cause: the target that does the probe run of a suspected request is its owner by hash among all listed targets, leaving ones included, and all nodes agree on it, so such requests went there until its entry was removed, one after the other, each waiting for the one before.

Now a leaving target is never the owner; with none left the request is balanced as usual.

--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -334,8 +334,18 @@
 std::optional<target_address> target_table::probe_target(
     std::uint64_t fingerprint, const std::set<std::string>& crashed) const
 {
-    const auto sound = this->owner(fingerprint, crashed);
-    return sound ? sound : this->owner(fingerprint);
+    std::set<std::string> leaving;
+    for (const auto& [id, candidate] : this->targets)
+    {
+        if (candidate.listed_leaving)
+        {
+            leaving.insert(id);
+        }
+    }
+    auto unsuitable = leaving;
+    unsuitable.insert(crashed.begin(), crashed.end());
+    const auto sound = this->owner(fingerprint, unsuitable);
+    return sound ? sound : this->owner(fingerprint, leaving);
 }
 
 std::optional<target_address>
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -169,7 +169,7 @@
 
     //! Target that does the probe run of a suspected request: the owner of its
     //! \p fingerprint among the targets that it has not crashed, or among all
-    //! if it has crashed each of them.
+    //! if it has crashed each of them. Nothing if all targets are leaving.
     std::optional<target_address> probe_target(
         std::uint64_t fingerprint, const std::set<std::string>& crashed) const;
 
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -413,8 +413,8 @@
                 }
                 const auto owner =
                     targets.probe_target(call.message.digest, crashed);
-                call.destination =
-                    owner ? destination_kind::pinned : call.destination;
+                call.destination = owner ? destination_kind::pinned
+                                         : destination_kind::balanced;
                 call.fixed_target = owner.value_or(decisions::target_address{});
                 return;
             }
