Send no call to a target that its own node knows to be leaving

A call was checked against the state of its target once, when it arrived, and only against what the target or its node had said of itself; the list was not looked at. A call that was chosen on old news, waited in a buffer, in the queue for up to 2 s or on hold for another request's probe run was then sent however long ago the target had begun to leave.

The node beside a target now refuses calls to a target that is listed as leaving or was dropped from the list: on arrival, when the list changes (those that wait), and as the last step before the request is sent. The refusal is not_run and costs no retry token, so callers go elsewhere, and it tells the caller's node at once. event=refuse carries the age of the news, the waits and the revisions.

--- a/src/node/internal/directory_follower.hpp
+++ b/src/node/internal/directory_follower.hpp
@@ -22,10 +22,13 @@
 class directory_follower
 {
 public:
+    //! \p on_targets_changed is called after new lists of targets are in force
+    //! in the tables.
     directory_follower(
         node_tables& tables, const platform_adapter& adapter,
         std::unique_ptr<directory::store_client> store,
-        std::function<void(const schema::service_policy&)> on_local_policy);
+        std::function<void(const schema::service_policy&)> on_local_policy,
+        std::function<void()> on_targets_changed);
 
     void set_network(transport::peer_network& network);
 
@@ -100,6 +103,7 @@
 
     node_tables& tables;
     std::function<void(const schema::service_policy&)> on_local_policy;
+    std::function<void()> on_targets_changed;
     schema::node_settings::fleet_section fleet;
     //! The retry limits in force use retry_share_with_parent_ids.
     bool limits_use_parent_ids{false};
--- a/src/node/internal/directory_follower_apply.cpp
+++ b/src/node/internal/directory_follower_apply.cpp
@@ -35,6 +35,7 @@
     }
     if (!change.services.empty())
     {
+        this->on_targets_changed();
         this->update_role();
     }
     if (change.configuration_changed || !change.services.empty())
--- a/src/node/internal/document_gossip.cpp
+++ b/src/node/internal/document_gossip.cpp
@@ -43,9 +43,11 @@
 document_gossip::document_gossip(
     node_tables& tables,
     std::unique_ptr<configuration::configuration_client> client,
-    std::function<void(const schema::service_policy&)> on_local_policy)
+    std::function<void(const schema::service_policy&)> on_local_policy,
+    std::function<void()> on_targets_changed)
     : tables(tables), client(std::move(client)),
       on_local_policy(std::move(on_local_policy)),
+      on_targets_changed(std::move(on_targets_changed)),
       state(make_state(tables.settings, tables.incarnation))
 {
 }
@@ -114,6 +116,7 @@
     if (!outcome.lists.empty())
     {
         this->update_targets(outcome.lists);
+        this->on_targets_changed();
         this->update_members();
     }
     this->push_to_peers(
--- a/src/node/internal/document_gossip.hpp
+++ b/src/node/internal/document_gossip.hpp
@@ -29,10 +29,13 @@
 class document_gossip
 {
 public:
+    //! \p on_targets_changed is called after new instance lists are in force in
+    //! the tables.
     document_gossip(
         node_tables& tables,
         std::unique_ptr<configuration::configuration_client> client,
-        std::function<void(const schema::service_policy&)> on_local_policy);
+        std::function<void(const schema::service_policy&)> on_local_policy,
+        std::function<void()> on_targets_changed);
 
     void set_network(transport::peer_network& network);
 
@@ -87,6 +90,7 @@
     node_tables& tables;
     std::unique_ptr<configuration::configuration_client> client;
     std::function<void(const schema::service_policy&)> on_local_policy;
+    std::function<void()> on_targets_changed;
     transport::peer_network* network{nullptr};
     std::atomic<bool> watching{false};
     std::atomic<std::uint64_t> requests_sent{0};
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -193,7 +193,8 @@
         this->gossip = std::make_unique<document_gossip>(
             this->tables, std::move(client),
             [this](const schema::service_policy& policy)
-            { this->inbound_calls.on_policy(policy); });
+            { this->inbound_calls.on_policy(policy); },
+            [this] { this->inbound_calls.refuse_leaving(); });
         this->frames.set_gossip(*this->gossip);
         this->gossip->set_network(*this->network);
         return {};
@@ -215,7 +216,8 @@
         this->directory = std::make_unique<directory_follower>(
             this->tables, this->adapter, std::move(client),
             [this](const schema::service_policy& policy)
-            { this->inbound_calls.on_policy(policy); });
+            { this->inbound_calls.on_policy(policy); },
+            [this] { this->inbound_calls.refuse_leaving(); });
         this->frames.set_directory(*this->directory);
         this->directory->set_network(*this->network);
         return {};
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -128,9 +128,23 @@
     return std::nullopt;
 }
 
+std::optional<base::time_ms>
+target_side::leaving_since(const schema::call& call) const
+{
+    const auto& instance = call.expected_instance.empty()
+                               ? this->tables.settings.node.instance
+                               : call.expected_instance;
+    std::optional<base::time_ms> since;
+    this->tables.with_targets(
+        call.service, [&](auto& targets, routing_table&)
+        { since = targets.listed_leaving_since(instance); });
+    return since;
+}
+
 bool target_side::is_draining(const schema::call& call) const
 {
-    bool draining = this->tables.draining || this->monitor.is_draining();
+    bool draining = this->tables.draining || this->monitor.is_draining() ||
+                    this->leaving_since(call);
     this->tables.with_targets(
         call.service, [&](auto& targets, routing_table&)
         { draining |= targets.has_stated_leaving(call.expected_instance); });
@@ -284,7 +298,8 @@
     auto& ended = removed->call;
     this->tables.record_event(
         {0, "refuse", ended.message.root, id, ended.message.service,
-         "reason=" + std::string(schema::to_string(reason)) + detail});
+         "reason=" + std::string(schema::to_string(reason)) + detail +
+             this->describe_leaving(ended, base::now())});
     auto answer = make_refusal(base::verdict::not_run, reason);
     if (reason == refusal::suspected)
     {
@@ -437,6 +452,44 @@
     }
 }
 
+std::string
+target_side::describe_leaving(const inbound_call& call, base::time_ms now) const
+{
+    const auto since = this->leaving_since(call.message);
+    if (!since)
+    {
+        return {};
+    }
+    return " target=" + call.message.expected_instance +
+           " listed_leaving_ms=" + std::to_string((now - *since).count) +
+           " waited_ms=" + std::to_string((now - call.arrived).count) +
+           " transit_ms=" + std::to_string(call.transit.count) +
+           " caller_revision=" +
+           std::to_string(call.message.directory_revision) +
+           " revision=" + std::to_string(this->tables.directory_revision);
+}
+
+void target_side::refuse_leaving()
+{
+    std::vector<std::uint64_t> late;
+    this->inbound.with(
+        [&](inbound_table& table)
+        {
+            for (const auto& [id, call] : table.calls)
+            {
+                if (this->leaving_since(call.message) &&
+                    stop_waiting(table, id, call))
+                {
+                    late.push_back(id);
+                }
+            }
+        });
+    for (const auto id : late)
+    {
+        this->refuse(id, refusal::draining);
+    }
+}
+
 void target_side::on_policy(const schema::service_policy& policy)
 {
     this->client->set_connections_per_host(policy.connections);
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -102,6 +102,10 @@
     //! deadline is later, since they might be cut by the end of the process.
     void refuse_waiting(base::time_ms latest_deadline);
 
+    //! Refuses the calls whose target has begun to leave and that have not been
+    //! sent to it. To be called when the list of the local service changes.
+    void refuse_leaving();
+
     void on_crash_report(const schema::crash_report& report);
     //! Sends a node of the same service the crash reports in force.
     void
@@ -193,6 +197,9 @@
     //! Instance id of the local backend server: as it is listed, or as the
     //! settings name it while it is not listed.
     std::string local_instance() const;
+    //! Since when this node has known by the instance list that the target of
+    //! the call is leaving or gone; nothing if it is neither.
+    std::optional<base::time_ms> leaving_since(const schema::call& call) const;
     //! True if this node or the target of the call takes no new calls.
     bool is_draining(const schema::call& call) const;
     std::optional<schema::refusal>
@@ -201,9 +208,11 @@
     check_quarantine(inbound_table& table, std::uint64_t id, base::time_ms now);
     void apply(const decisions::admission_actions& actions);
     void start(std::uint64_t id);
-    //! Logs that a call is sent to a target that this node has listed as
-    //! leaving.
-    void log_if_leaving(const inbound_call& call, base::time_ms now) const;
+    //! Log fields of a call to a leaving target: how long this node has known
+    //! of it, how long the call waited, and the store revisions of the caller's
+    //! node and of this one. Empty for other calls.
+    std::string
+    describe_leaving(const inbound_call& call, base::time_ms now) const;
     void on_transfer(std::uint64_t id, http::transfer_result result);
     void check_after_disconnect(std::uint64_t id, const schema::answer& answer);
     //! Reports the crash of the backend server while the call was in flight. \p
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -129,8 +129,7 @@
 {
     const auto now = base::now();
     std::optional<http::transfer_request> transfer;
-    bool expired = false;
-    std::uint64_t root = 0;
+    auto reason = refusal::none;
     this->inbound.with(
         [&](inbound_table& table)
         {
@@ -140,21 +139,26 @@
                 return;
             }
             auto& call = found->second;
-            expired = call.deadline <= now;
-            if (expired)
+            if (call.deadline <= now)
             {
+                reason = refusal::deadline;
+                return;
+            }
+            // The last check before the target: the list may have changed since
+            // the call was admitted.
+            if (this->leaving_since(call.message))
+            {
+                reason = refusal::draining;
                 return;
             }
-            root = call.message.root;
             call.state = call_state::running;
             call.started = now;
-            this->log_if_leaving(call, now);
             transfer = this->make_transfer(id, call, now);
         });
-    if (expired)
+    if (reason != refusal::none)
     {
         this->finish(
-            id, make_refusal(base::verdict::not_run, refusal::deadline),
+            id, make_refusal(base::verdict::not_run, reason),
             decisions::completion::ignored, {0});
         return;
     }
@@ -176,27 +180,6 @@
         });
 }
 
-void target_side::log_if_leaving(
-    const inbound_call& call, base::time_ms now) const
-{
-    const auto& message = call.message;
-    std::optional<base::time_ms> since;
-    this->tables.with_targets(
-        message.service, [&](auto& targets, routing_table&)
-        { since = targets.listed_leaving_since(message.expected_instance); });
-    if (!since)
-    {
-        return;
-    }
-    LOG(WARNING) << "event=sent_while_leaving id=" << this->request_id(message)
-                 << " target=" << message.expected_instance
-                 << " listed_leaving_ms=" << (now - *since).count
-                 << " waited_ms=" << (now - call.arrived).count
-                 << " transit_ms=" << call.transit.count
-                 << " caller_revision=" << message.directory_revision
-                 << " revision=" << this->tables.directory_revision;
-}
-
 schema::answer target_side::to_answer(
     const schema::call& call, http::transfer_result& result,
     std::uint32_t shed_status, bool nested_call_failed) const
--- a/src/node/tests/leaving_target_test.cpp
+++ b/src/node/tests/leaving_target_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "node/internal/target_side.hpp"
+#include "transport/tests/running_network.hpp"
 
 #include <doctest/doctest.h>
 
@@ -95,10 +96,14 @@
     node_tables tables{this->context, make_settings(), 1};
     target_side calls{
         this->tables, std::make_unique<recording_client>(this->log)};
+    transport::callback_counts counts;
+    std::unique_ptr<transport::peer_network> network{transport::open_network(
+        this->context, transport::free_port(), this->counts)};
     std::vector<schema::answer> answers;
 
     target_node()
     {
+        this->calls.set_network(*this->network, [](std::uint64_t) {});
         directory::header_names names;
         names.attempt_id = id_header;
         names.signature = "x-signature";
@@ -194,6 +199,20 @@
     CHECK(is_refused_as_leaving(node.answers[1]));
 }
 
+TEST_CASE("calls that wait are refused as soon as their target begins to leave")
+{
+    target_node node;
+    node.offer("running");
+    node.offer("waiting");
+    node.list({{target, schema::instance_state::leaving}});
+    node.calls.refuse_leaving();
+    REQUIRE(node.answers.size() == 1);
+    CHECK(is_refused_as_leaving(node.answers[0]));
+    node.log.respond(0);
+    REQUIRE(node.answers.size() == 2);
+    CHECK(node.answers[1].status == 200);
+}
+
 TEST_CASE("a target that is listed as live again gets calls again")
 {
     target_node node;
