Hold back no removal after a single failed call of the store

A target whose entry is removed within 2 s after the store came back stays in use for the rest of that time, as an outage may have lost the entry. Any failed call counted as an outage, also a connection that was reset and worked again 0.1 s later, and so did the first answer after a start: a target that left then went on getting calls for up to 2 s, in which no bound of the promise has room.

Only more than one failed call in a row counts now; event=store_regained says how many failed. Test: 'a single failed call of the store holds back no removal' failed with the old rule (1 of 21 cases).

--- a/src/directory/fleet_view.hpp
+++ b/src/directory/fleet_view.hpp
@@ -45,10 +45,12 @@
         const std::vector<std::string>& keys, std::uint64_t revision,
         base::time_ms now);
 
-    //! The store responds again after an outage, in which it may have lost
-    //! entries. A ready target that it removes within the hold time stays in
-    //! use until that time ends; a draining one is dropped at once.
-    void on_store_regained(base::time_ms now);
+    //! The store responds again after \p failed_calls calls in a row failed.
+    //! More than one was an outage, in which the store may have lost entries: a
+    //! ready target that it removes within the hold time stays in use until
+    //! that time ends; a draining one is dropped at once. A single one was a
+    //! lost connection.
+    void on_store_regained(base::time_ms now, std::uint32_t failed_calls);
 
     //! Drops removed targets whose hold time is over.
     view_change tick(base::time_ms now);
--- a/src/directory/internal/fleet_view.cpp
+++ b/src/directory/internal/fleet_view.cpp
@@ -163,9 +163,13 @@
     return change;
 }
 
-void fleet_view::on_store_regained(base::time_ms now)
+void fleet_view::on_store_regained(
+    base::time_ms now, std::uint32_t failed_calls)
 {
-    this->store_regained = now;
+    if (failed_calls > 1)
+    {
+        this->store_regained = now;
+    }
 }
 
 view_change fleet_view::tick(base::time_ms now)
--- a/src/directory/internal/store_watcher.cpp
+++ b/src/directory/internal/store_watcher.cpp
@@ -185,7 +185,7 @@
 {
     if (this->lost)
     {
-        this->events.on_regained(now - this->last_success);
+        this->events.on_regained(now - this->last_success, this->failures);
     }
     this->lost = false;
     this->failures = 0;
--- a/src/directory/store_watcher.hpp
+++ b/src/directory/store_watcher.hpp
@@ -27,8 +27,10 @@
     std::function<void(const store_error&)> on_lost;
     //! A call succeeded after the store was lost, or for the first time;
     //! \p outage is the time since the last successful call. At the first
-    //! success it is a very large number and no outage.
-    std::function<void(base::duration_ms outage)> on_regained;
+    //! success it is a very large number and no outage. \p failed_calls is the
+    //! number of calls in a row that failed meanwhile.
+    std::function<void(base::duration_ms outage, std::uint32_t failed_calls)>
+        on_regained;
 };
 
 //! Follows the items of a store: reads a snapshot of all items, then watches
--- a/src/directory/tests/fleet_view_test.cpp
+++ b/src/directory/tests/fleet_view_test.cpp
@@ -113,7 +113,7 @@
     view.merge(item("t/1", "s", 1), {0});
     view.merge(item("t/2", "s", 2), {0});
     view.merge(item("t/3", "s draining", 3), {0});
-    view.on_store_regained({10000});
+    view.on_store_regained({10000}, 2);
     for (const auto* key : {"t/1", "t/2", "t/3"})
     {
         view.merge(item(key, "", 9), {10100});
@@ -136,6 +136,15 @@
     view.end_snapshot({"t/1"}, 20, {0});
     // The third item was written after the snapshot began.
     CHECK(view.targets("s").size() == 2);
+TEST_CASE("a single failed call of the store holds back no removal")
+{
+    fleet_view view(decode, hold);
+    view.merge(item("t/1", "s", 1), {0});
+    view.on_store_regained({10000}, 1);
+    view.merge(item("t/1", "", 2), {10100});
+    CHECK(view.targets("s").empty());
+}
+
     CHECK(view.revision() == 20);
 }
 
--- a/src/directory/tests/store_watcher_test.cpp
+++ b/src/directory/tests/store_watcher_test.cpp
@@ -62,7 +62,7 @@
          },
          [this](std::uint64_t revision) { this->advanced = revision; },
          [this](const auto&) { ++this->lost; },
-         [this](base::duration_ms) { ++this->regained; }},
+         [this](base::duration_ms, std::uint32_t) { ++this->regained; }},
         1};
 
     void tick()
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -90,13 +90,16 @@
              "reason=" + std::string(directory::to_string(error.failure)) +
                  " detail=\"" + error.detail + "\""});
     };
-    events.on_regained = [this](base::duration_ms outage)
+    events.on_regained =
+        [this](base::duration_ms outage, std::uint32_t failed_calls)
     {
-        this->state.with([](follower_state& state)
-                         { state.view.on_store_regained(base::now()); });
+        this->state.with(
+            [&](follower_state& state)
+            { state.view.on_store_regained(base::now(), failed_calls); });
         this->tables.record_event(
             {0, "store_regained", 0, 0, "",
-             "silent_ms=" + std::to_string(outage.count)});
+             "silent_ms=" + std::to_string(outage.count) +
+                 " failed_calls=" + std::to_string(failed_calls)});
     };
     return events;
 }
