Let peers tell of targets that were removed before they started

A node that does not watch the store gets the changes after its revision from a peer. A peer that started after a target had been removed does not know of that removal, sent only what it knew, and the asking node took the list as complete: it kept the target for good. A node that was cut off while a target left and a peer restarted met this.

A view now knows from which revision on it has seen all removals. Asked for changes after an earlier one it sends all items and says so (item_list.complete); the receiver drops what is not among them.

--- a/src/directory/fleet_view.hpp
+++ b/src/directory/fleet_view.hpp
@@ -75,9 +75,15 @@
     //! Records that all changes up to \p revision have been merged.
     void advance(std::uint64_t revision);
 
-    //! Items changed or removed after \p revision, for a peer that lacks them.
-    std::vector<schema::published_item>
-    items_after(std::uint64_t revision) const;
+    //! What a peer lacks that knows all changes up to \p revision: the items
+    //! that were changed or removed since, or all items if this view does not
+    //! reach back that far and so may not know what was removed.
+    schema::item_list changes_after(std::uint64_t revision) const;
+
+    //! Ends the merge of a list that a peer sent and whose items were merged
+    //! one by one. Known items that a complete list does not contain, and that
+    //! were not changed after its revision, were removed from the store.
+    view_change end_list(const schema::item_list& list, base::time_ms now);
 
 private:
     //! Host and port of a target.
@@ -120,5 +126,7 @@
     std::optional<fleet_configuration> current_configuration;
     //! Revision up to which all changes are known.
     std::uint64_t complete_revision{0};
+    //! Revision from which on all removals are known.
+    std::uint64_t first_revision{0};
 };
 } // namespace bilberrytally::directory
--- a/src/directory/internal/fleet_view.cpp
+++ b/src/directory/internal/fleet_view.cpp
@@ -242,20 +242,41 @@
 
 void fleet_view::advance(std::uint64_t revision)
 {
+    if (this->complete_revision == 0)
+    {
+        this->first_revision = revision;
+    }
     this->complete_revision = std::max(this->complete_revision, revision);
 }
 
-std::vector<schema::published_item>
-fleet_view::items_after(std::uint64_t revision) const
+schema::item_list fleet_view::changes_after(std::uint64_t revision) const
 {
-    std::vector<schema::published_item> found;
+    schema::item_list list;
+    list.revision = this->complete_revision;
+    list.complete = revision < this->first_revision;
     for (const auto& [key, state] : this->item_states)
     {
-        if (state.item.revision > revision)
+        if (list.complete || state.item.revision > revision)
         {
-            found.push_back(state.item);
+            list.items.push_back(state.item);
         }
     }
-    return found;
+    return list;
+}
+
+view_change
+fleet_view::end_list(const schema::item_list& list, base::time_ms now)
+{
+    if (!list.complete)
+    {
+        this->advance(list.revision);
+        return {};
+    }
+    std::vector<std::string> keys;
+    for (const auto& item : list.items)
+    {
+        keys.push_back(item.key);
+    }
+    return this->end_snapshot(keys, list.revision, now);
 }
 } // namespace bilberrytally::directory
--- a/src/node/internal/directory_follower_peers.cpp
+++ b/src/node/internal/directory_follower_peers.cpp
@@ -83,13 +83,9 @@
 void directory_follower::on_query(
     transport::link_id link, const schema::item_query& query)
 {
-    schema::item_list list;
-    this->state.with(
-        [&](follower_state& state)
-        {
-            list.items = state.view.items_after(query.after);
-            list.revision = state.view.revision();
-        });
+    const auto list =
+        this->state.with([&](follower_state& state)
+                         { return state.view.changes_after(query.after); });
     this->network->send(
         link, transport::frame_kind::item_list, transport::encode(list), 0);
 }
@@ -104,8 +100,10 @@
     }
     // The list begins at the revision that this node sent in its query or
     // digest, so nothing is missing up to the list's revision.
-    this->state.with([&](follower_state& state)
-                     { state.view.advance(list.revision); });
+    const auto change =
+        this->state.with([&](follower_state& state)
+                         { return state.view.end_list(list, base::now()); });
+    this->apply(change);
     if (list.revision > old_revision && !list.items.empty())
     {
         this->tables.record_event(
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -360,13 +360,16 @@
     std::vector<published_item> items{};
     //! Store revision up to which the items are complete.
     std::uint64_t revision{0};
+    //! The list holds all items of the store; others were removed. False if it
+    //! holds only what changed after the revision of the query.
+    bool complete{false};
 
     bool operator==(const item_list&) const = default;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(this->items, this->revision);
+        archive(this->items, this->revision, this->complete);
     }
 };
 //! A ticket or an instance list, as published.
