Ask once more before the first byte whether a call is still wanted

A call that needed a new connection to its target was sent as soon as the connection was there, up to 0.5 s after the last look at the list. http_client asks may_send at that moment, with both libraries; the target's node answers no once the call has ended or its target leaves, and the call is refused (not_run, draining). Tests: leaving_target, 'a call whose connection is made ...'; http, 'a request that is not wanted any more once connected is unsent' (both new, with the interface).

--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -48,6 +48,9 @@
     //! Uses a new connection and closes it afterwards. The pooled client does
     //! not apply it.
     bool new_connection{false};
+    //! Asked once the connection is established; if it returns false, nothing
+    //! is sent and the transfer ends as unsent. Empty for always.
+    std::function<bool()> may_send;
     //! Limit for the whole transfer, including the connect.
     base::duration_ms timeout;
     base::duration_ms connect_timeout{500};
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -429,13 +429,16 @@
         return 0;
     }
 
-    //! Called before each send of a request. Aborts the second one, libcurl's
-    //! retry on a new connection, since the request could run twice.
+    //! Called before each send of a request. Aborts one that is not wanted any
+    //! more, and the second one, libcurl's retry on a new connection, since the
+    //! request could run twice.
     static int on_send(void* user, char*, char*, int, int)
     {
         auto& item = *static_cast<transfer*>(user);
         ++item.sends;
-        return item.sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+        const bool unwanted = item.request.may_send && !item.request.may_send();
+        return item.sends > 1 || unwanted ? CURL_PREREQFUNC_ABORT
+                                          : CURL_PREREQFUNC_OK;
     }
 
     static std::size_t
--- a/src/http/internal/pooled_connection.cpp
+++ b/src/http/internal/pooled_connection.cpp
@@ -106,6 +106,11 @@
                 self->close(transfer_outcome::unsent);
                 return;
             }
+            if (self->may_send && !self->may_send())
+            {
+                self->close(transfer_outcome::unsent);
+                return;
+            }
             self->connected = true;
             std::error_code ignored;
             self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -127,6 +132,7 @@
     this->on_done = std::move(on_done);
     this->outgoing = serialize_request(request);
     this->expected_id = request.response_id;
+    this->may_send = request.may_send;
     this->carried_ids.push_back(request.response_id.value);
     if (this->carried_ids.size() > max_carried_ids)
     {
--- a/src/http/internal/pooled_connection.hpp
+++ b/src/http/internal/pooled_connection.hpp
@@ -96,6 +96,7 @@
     end_handler on_done;
     std::string outgoing;
     schema::header expected_id;
+    std::function<bool()> may_send;
     //! Ids of the last requests, the current one included; the latest is last.
     std::deque<std::string> carried_ids;
     bool head_request{false};
--- a/src/http/tests/pooled_client_test.cpp
+++ b/src/http/tests/pooled_client_test.cpp
@@ -82,6 +82,20 @@
     CHECK(client.get(server.port(), "2").content.body == "two");
 }
 
+TEST_CASE("a request that is not wanted any more once connected is unsent")
+{
+    for (const auto make :
+         {&http::http_client::make_pooled, &http::http_client::make})
+    {
+        raw_server server({{{answer("1", "one")}}});
+        running_client client({}, make);
+        const base::duration_ms timeout{1000};
+        auto result =
+            client.start(server.port(), "1", timeout, {}, [] { return false; });
+        CHECK(result.get().outcome == transfer_outcome::unsent);
+    }
+}
+
 TEST_CASE("a request to a server that does not listen is unsent")
 {
     asio::io_context context;
--- a/src/http/tests/running_client.hpp
+++ b/src/http/tests/running_client.hpp
@@ -5,6 +5,7 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 
+#include <functional>
 #include <future>
 #include <memory>
 #include <string>
@@ -43,7 +44,7 @@
     //! Sends a request with this id: a POST if it has a body, else a GET.
     std::future<transfer_result> start(
         std::uint32_t port, const std::string& id, base::duration_ms timeout,
-        std::string body = {})
+        std::string body = {}, std::function<bool()> may_send = {})
     {
         transfer_request request;
         request.content.method = body.empty() ? "GET" : "POST";
@@ -54,6 +55,7 @@
         request.port = port;
         request.response_id = {"id", id};
         request.timeout = timeout;
+        request.may_send = std::move(may_send);
         auto done = std::make_shared<std::promise<transfer_result>>();
         this->client->start(
             std::move(request), [done](transfer_result outcome)
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -208,6 +208,8 @@
     check_quarantine(inbound_table& table, std::uint64_t id, base::time_ms now);
     void apply(const decisions::admission_actions& actions);
     void start(std::uint64_t id);
+    //! False if the call has ended or its target has begun to leave.
+    bool may_send(std::uint64_t id);
     //! Log fields of a call to a leaving target: how long this node has known
     //! of it, how long the call waited, and the store revisions of the caller's
     //! node and of this one. Empty for other calls.
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -154,6 +154,7 @@
             call.state = call_state::running;
             call.started = now;
             transfer = this->make_transfer(id, call, now);
+            transfer->may_send = [this, id] { return this->may_send(id); };
         });
     if (reason != refusal::none)
     {
@@ -180,6 +181,17 @@
         });
 }
 
+bool target_side::may_send(std::uint64_t id)
+{
+    return this->inbound.with(
+        [&](inbound_table& table)
+        {
+            const auto found = table.calls.find(id);
+            return found != table.calls.end() &&
+                   !this->leaving_since(found->second.message);
+        });
+}
+
 schema::answer target_side::to_answer(
     const schema::call& call, http::transfer_result& result,
     std::uint32_t shed_status, bool nested_call_failed) const
@@ -190,7 +202,10 @@
     case http::transfer_outcome::answered:
         break;
     case http::transfer_outcome::unsent:
-        return make_refusal(verdict::not_run, refusal::backend_down);
+        return make_refusal(
+            verdict::not_run, this->leaving_since(call)
+                                  ? refusal::draining
+                                  : refusal::backend_down);
     case http::transfer_outcome::broken:
         return make_refusal(verdict::may_have_run, refusal::connection_lost);
     case http::transfer_outcome::timed_out:
@@ -301,6 +316,7 @@
     const bool ran = answer.reason == refusal::none;
     const bool shed = answer.reason == refusal::shed_by_backend;
     const bool cancelled = answer.reason == refusal::cancelled;
+    const bool leaving = answer.reason == refusal::draining;
     if (cancelled)
     {
         this->remember_unconfirmed_run(id);
@@ -309,7 +325,7 @@
     // this backend server is overloaded; the services below may be.
     const bool waited_below =
         outcome == http::transfer_outcome::timed_out && has_nested_calls;
-    const bool no_evidence = cancelled || waited_below;
+    const bool no_evidence = cancelled || waited_below || leaving;
     const auto kind = ran           ? decisions::completion::served
                       : shed        ? decisions::completion::shed
                       : no_evidence ? decisions::completion::ignored
--- a/src/node/tests/leaving_target_test.cpp
+++ b/src/node/tests/leaving_target_test.cpp
@@ -213,6 +213,22 @@
     CHECK(node.answers[1].status == 200);
 }
 
+TEST_CASE("a call whose connection is made while its target begins to leave "
+          "never reaches it")
+{
+    target_node node;
+    node.offer("connecting");
+    REQUIRE(node.log.requests.size() == 1);
+    REQUIRE(node.log.requests[0].may_send);
+    CHECK(node.log.requests[0].may_send());
+    node.list({{target, schema::instance_state::leaving}});
+    CHECK_FALSE(node.log.requests[0].may_send());
+    const auto handler = node.log.handlers[0];
+    handler({});
+    REQUIRE(node.answers.size() == 1);
+    CHECK(is_refused_as_leaving(node.answers[0]));
+}
+
 TEST_CASE("a target that is listed as live again gets calls again")
 {
     target_node node;
