--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -1,8 +1,6 @@
 #include "node/internal/http_mapping.hpp"
 #include "node/internal/target_side.hpp"
 
-#include <glog/logging.h>
-
 #include <algorithm>
 #include <array>
 
