Read workspaces and access keys from the configuration

Cause: a configuration may hold workspaces with access keys, a priority and a quota; the product knew none of them.

--- a/src/directory/fleet_configuration.hpp
+++ b/src/directory/fleet_configuration.hpp
@@ -2,7 +2,9 @@
 
 #include "base/time.hpp"
 
+#include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,8 +39,12 @@
     base::duration_ms latency_objective;
     //! Attempts for one request, the first one included.
     std::uint32_t max_attempts{1};
-    //! Priority class; 0 is the most important.
+    //! Priority class; 0 is the most important. The priority of a workspace
+    //! takes precedence.
     std::uint32_t priority{0};
+    //! Requests need no access key, even where the configuration has
+    //! workspaces.
+    bool anonymous{false};
     //! Services that share the requests; at least one.
     std::vector<service_share> shares;
 
@@ -56,6 +62,24 @@
     bool operator==(const service_settings&) const = default;
 };
 
+//! SHA-256 digest of an access key.
+using key_digest = std::array<std::uint8_t, 32>;
+
+//! A workspace: callers that share access keys, a priority and a quota.
+struct workspace
+{
+    std::string name;
+    std::vector<key_digest> keys;
+    //! Priority class of its requests; that of the route if absent.
+    std::optional<std::uint32_t> priority;
+    //! Requests a second that it may send to the whole fleet; 0 for no limit.
+    double rate_per_s{0};
+    //! Requests that it may send at once beyond its rate.
+    double burst{0};
+
+    bool operator==(const workspace&) const = default;
+};
+
 //! Limits on the requests and connections of callers.
 struct caller_limits
 {
@@ -73,6 +97,8 @@
     std::uint64_t version{0};
     std::vector<route> routes;
     std::vector<service_settings> services;
+    //! Without workspaces no request needs an access key.
+    std::vector<workspace> workspaces;
     caller_limits limits;
 
     bool operator==(const fleet_configuration&) const = default;
--- a/src/directory/header_names.hpp
+++ b/src/directory/header_names.hpp
@@ -27,6 +27,8 @@
     //! Service of the caller: that of the instance beside the node that
     //! received the request.
     std::string caller_service;
+    //! Workspace of the access key that the caller sent; set by the node.
+    std::string workspace;
     //! A target forms the id of a nested call from the id of the attempt that
     //! it runs, this character and a suffix, for example r1.c1. 0 if ids do
     //! not link nested calls.
--- a/src/schema/documents.cpp
+++ b/src/schema/documents.cpp
@@ -60,6 +60,12 @@
         return "timeout";
     case refusal::suspected:
         return "suspected";
+    case refusal::unproven_view:
+        return "unproven_view";
+    case refusal::key_revoked:
+        return "key_revoked";
+    case refusal::quota:
+        return "quota";
     }
     return "unknown";
 }
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -41,6 +41,9 @@
     shed_by_backend,
     timeout,
     suspected,
+    unproven_view,
+    key_revoked,
+    quota,
 };
 
 //! Name of the value as written in JSON, logs and metrics.
@@ -167,6 +170,13 @@
     //! Store revision up to which the sender knew the targets when it chose
     //! one; 0 if none is read from a store.
     std::uint64_t directory_revision{0};
+    //! Workspace of the root request; empty for none.
+    std::string workspace{};
+    //! Id of the access key that the request was sent with; 0 for none.
+    std::uint64_t key_id{0};
+    //! Version of the configuration by which the sender accepted the access
+    //! key; 0 for none.
+    std::uint64_t configuration_version{0};
     //! Ids of the backend server crashes that happened while this request was
     //! in flight.
     std::vector<std::string> struck_by{};
@@ -185,7 +195,8 @@
             this->headers, this->body, this->digest, this->root, this->depth,
             this->priority, this->remaining_ms, this->budget, this->rerun,
             this->repeatable, this->long_work, this->key, this->send_number,
-            this->expected_instance, this->directory_revision, this->struck_by,
+            this->expected_instance, this->directory_revision, this->workspace,
+            this->key_id, this->configuration_version, this->struck_by,
             this->trace_parent, this->trace_state);
     }
 };
@@ -330,13 +341,18 @@
     std::uint64_t revision{0};
     //! The sender has a working watch at the store.
     bool watching{false};
+    //! Time since the store was asked for the state that the sender's copy is
+    //! proven to hold, ms; the largest number if there is no proof.
+    std::uint64_t proof_age_ms{0};
 
     bool operator==(const directory_digest&) const = default;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(this->host, this->port, this->revision, this->watching);
+        archive(
+            this->host, this->port, this->revision, this->watching,
+            this->proof_age_ms);
     }
 };
 //! Requests the items of the metadata store that the sender lacks.
--- a/src/schema/settings.cpp
+++ b/src/schema/settings.cpp
@@ -106,6 +106,16 @@
     BOOST_LEAF_CHECK(fields.take(
         "fleet", "retry_window_s", {false, 1, 600},
         value.fleet.retry_window_s));
+    BOOST_LEAF_CHECK(
+        fields.take("fleet", "apply_s", {false, 1, 600}, value.fleet.apply_s));
+    BOOST_LEAF_CHECK(fields.take(
+        "fleet", "revocation_s", {false, 0, 3600}, value.fleet.revocation_s));
+    BOOST_LEAF_CHECK(fields.take(
+        "fleet", "strict_revocation", {false, 0, internal::no_maximum},
+        value.fleet.strict_revocation));
+    BOOST_LEAF_CHECK(fields.take(
+        "fleet", "quota_window_s", {false, 1, 600},
+        value.fleet.quota_window_s));
     BOOST_LEAF_CHECK(fields.take(
         "admin", "address", {false, 0, internal::no_maximum},
         value.admin.address));
--- a/src/schema/settings.hpp
+++ b/src/schema/settings.hpp
@@ -122,6 +122,19 @@
         double retry_extra{40};
         //! Length of the window over which retries are counted, s.
         double retry_window_s{10};
+        //! Time within which a new configuration is in force at each connected
+        //! node, s.
+        double apply_s{2};
+        //! Time after its removal from the configuration from which on an
+        //! access key must not be accepted by any node, s; 0 if connected nodes
+        //! alone are bound.
+        double revocation_s{0};
+        //! revocation_s also binds nodes that have lost contact; they then
+        //! refuse requests with access keys.
+        bool strict_revocation{false};
+        //! Length of the windows in which the requests of a workspace are
+        //! counted, s.
+        double quota_window_s{5};
 
         bool operator==(const fleet_section&) const = default;
     };
