Serve requests by access key while the configuration is proven

Change: the entry node judges each request by its key, passes on the name of the workspace instead, and applies the priority of the workspace; digests between nodes carry the age of the proof; a node without a young proof refuses keys with 503 and is not ready; a key is checked again at the node beside the target if that knows a newer configuration. Without workspaces in the configuration nothing changes.

--- a/src/directory/internal/store_watcher.cpp
+++ b/src/directory/internal/store_watcher.cpp
@@ -45,6 +45,7 @@
         return;
     }
     this->call_in_flight = true;
+    this->asked_at = now;
     if (this->snapshot_due)
     {
         this->client->read(
@@ -130,6 +131,7 @@
         // watch that follows starts at the revision of the first page and so
         // returns these changes.
         this->snapshot_revision = page->revision;
+        this->snapshot_asked_at = this->asked_at;
         this->snapshot_keys.clear();
     }
     for (const auto& item : page->items)
@@ -146,6 +148,7 @@
     this->snapshot_due = false;
     this->revision = this->snapshot_revision;
     this->events.on_snapshot(this->snapshot_keys, this->snapshot_revision);
+    this->events.on_current(this->snapshot_revision, this->snapshot_asked_at);
     this->snapshot_keys.clear();
 }
 
@@ -178,6 +181,7 @@
     {
         this->revision = std::max(this->revision, changes->revision);
         this->events.on_advanced(this->revision);
+        this->events.on_current(this->revision, this->asked_at);
     }
 }
 
--- a/src/directory/store_watcher.hpp
+++ b/src/directory/store_watcher.hpp
@@ -23,6 +23,10 @@
         on_snapshot;
     //! All changes up to \p revision have been passed to on_item.
     std::function<void(std::uint64_t revision)> on_advanced;
+    //! The store, asked at \p asked_at, had no revision above \p revision;
+    //! all changes up to it have been passed to on_item.
+    std::function<void(std::uint64_t revision, base::time_ms asked_at)>
+        on_current;
     //! A call failed after one that succeeded.
     std::function<void(const store_error&)> on_lost;
     //! A call succeeded after the store was lost, or for the first time;
@@ -92,6 +96,10 @@
     std::string last_page_key;
     std::vector<std::string> snapshot_keys;
     std::uint64_t snapshot_revision{0};
+    //! When the first page of the snapshot was asked for.
+    base::time_ms snapshot_asked_at;
+    //! When the call in flight was started.
+    base::time_ms asked_at;
     //! Revision after which the next watch reports changes.
     std::uint64_t revision{0};
     //! Failed calls in a row.
--- a/src/directory/tests/store_watcher_test.cpp
+++ b/src/directory/tests/store_watcher_test.cpp
@@ -50,6 +50,9 @@
     std::vector<std::string> snapshot;
     std::uint64_t snapshot_revision{0};
     std::uint64_t advanced{0};
+    //! Newest claim that the store had no higher revision.
+    std::uint64_t current_revision{0};
+    base::time_ms current_at{-1};
     int lost{0};
     int regained{0};
     store_watcher watcher{
@@ -61,6 +64,11 @@
              this->snapshot_revision = revision;
          },
          [this](std::uint64_t revision) { this->advanced = revision; },
+         [this](std::uint64_t revision, base::time_ms asked_at)
+         {
+             this->current_revision = revision;
+             this->current_at = asked_at;
+         },
          [this](const auto&) { ++this->lost; },
          [this](base::duration_ms, std::uint32_t) { ++this->regained; }},
         1};
@@ -100,6 +108,25 @@
     CHECK(f.calls.size() == 4);
 }
 
+TEST_CASE("the age of a view counts from when the store was asked")
+{
+    fixture f;
+    const auto start = base::now();
+    f.watcher.tick(start, {1000});
+    // A snapshot of two pages is as old as its first page.
+    f.calls[0].done(store_page{{item("a", 1)}, true, 7});
+    CHECK(f.current_revision == 0);
+    f.watcher.tick(start + base::duration_ms{40}, {1000});
+    f.calls[1].done(store_page{{item("b", 9)}, false, 9});
+    CHECK(f.current_revision == 7);
+    CHECK(f.current_at == start);
+    const auto asked = start + base::duration_ms{60};
+    f.watcher.tick(asked, {1000});
+    f.calls[2].done(store_page{{}, false, 9});
+    CHECK(f.current_revision == 9);
+    CHECK(f.current_at == asked);
+}
+
 TEST_CASE("a paused watcher abandons its call and resumes at a given revision")
 {
     fixture f;
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -91,6 +91,19 @@
         base::time_ms caller_deadline;
     };
 
+    //! The decision on a request's access key (routed mode).
+    struct access_result
+    {
+        decisions::access_decision decision{
+            decisions::access_decision::granted};
+        //! Null for a request without a workspace.
+        std::shared_ptr<const directory::workspace> workspace;
+        std::uint64_t key_id{0};
+        //! Version of the configuration that decided; 0 if it has no
+        //! workspaces.
+        std::uint64_t configuration_version{0};
+    };
+
     //! How an attempt ended.
     struct attempt_outcome
     {
@@ -130,9 +143,15 @@
     make_http_reply(const outbound_call& call, http::respond respond);
     void on_routed_request(
         std::uint64_t connection, http::request request, http::respond respond);
+    //! Whether a request may be sent, and in whose name.
+    access_result
+    check_access(const http::request& request, const directory::route& route);
+    //! Answers a request that check_access() has not granted.
+    void refuse_access(
+        decisions::access_decision decision, const http::respond& respond);
     outbound_call make_routed_call(
         std::uint64_t connection, http::request request,
-        const directory::route_choice& choice);
+        const directory::route_choice& choice, const access_result& access);
     answer_handler
     make_routed_reply(const outbound_call& call, http::respond respond);
     bool may_retry_routed(outbound_call& call, const schema::answer& answer);
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -25,6 +25,12 @@
 //! Retry-After while the node knows no routes at all, for example before it has
 //! read them from the store.
 constexpr base::duration_ms no_routes_retry_after{500};
+//! Retry-After while the proof of freshness is too old. A node in contact with
+//! its peers gets a new one within this time.
+constexpr base::duration_ms unproven_view_retry_after{500};
+constexpr std::uint32_t unauthorized_status = 401;
+//! Value of WWW-Authenticate, which a response with status 401 must have.
+constexpr std::string_view authentication_scheme = "Bearer";
 } // namespace
 
 void caller_side::on_routed_request(
@@ -56,8 +62,14 @@
         respond(std::move(answer));
         return;
     }
+    const auto access = this->check_access(request, *choice.matched_route);
+    if (access.decision != decisions::access_decision::granted)
+    {
+        this->refuse_access(access.decision, respond);
+        return;
+    }
     auto new_call =
-        this->make_routed_call(connection, std::move(request), choice);
+        this->make_routed_call(connection, std::move(request), choice, access);
     new_call.reply = this->make_routed_reply(new_call, std::move(respond));
     if (!this->take_while_stopping(new_call))
     {
@@ -67,9 +79,64 @@
     this->start_call(std::move(new_call));
 }
 
+caller_side::access_result caller_side::check_access(
+    const http::request& request, const directory::route& route)
+{
+    access_result result;
+    if (!this->tables.needs_proof)
+    {
+        return result;
+    }
+    const auto key = access_key_of(request.headers);
+    const auto digest =
+        key ? directory::digest_key(*key) : directory::key_digest{};
+    const bool is_nested =
+        this->targets
+            .find_context(http::find_header(
+                request.headers, this->tables.platform_headers->attempt_id))
+            .has_value();
+    decisions::access_question question;
+    question.has_key = key.has_value();
+    question.key_optional = route.anonymous || is_nested;
+    question.proof_age = this->tables.view_age(base::now());
+    this->tables.access.with(
+        [&](access_table& access)
+        {
+            result.configuration_version = access.workspaces.version();
+            if (key)
+            {
+                result.workspace = access.workspaces.find(digest);
+                result.key_id = directory::key_id(digest);
+            }
+            question.key_known = result.workspace != nullptr;
+            result.decision = decisions::decide_access(question, access.limits);
+        });
+    return result;
+}
+
+void caller_side::refuse_access(
+    decisions::access_decision decision, const http::respond& respond)
+{
+    if (decision != decisions::access_decision::unauthorized)
+    {
+        this->tables.node_metrics.on_event("view_too_old");
+        respond(to_routed_response(
+            make_refusal(verdict::not_run, refusal::unproven_view),
+            unproven_view_retry_after));
+        return;
+    }
+    this->tables.node_metrics.on_event("unauthorized");
+    http::response answer;
+    answer.status = unauthorized_status;
+    answer.headers.push_back(
+        {"WWW-Authenticate", std::string(authentication_scheme)});
+    answer.close = this->tables.draining;
+    respond(std::move(answer));
+}
+
 outbound_call caller_side::make_routed_call(
     std::uint64_t connection, http::request request,
-    const directory::route_choice& choice)
+    const directory::route_choice& choice, const access_result& access)
 {
     const auto& platform_headers = *this->tables.platform_headers;
     const auto& route = *choice.matched_route;
@@ -95,7 +162,8 @@
     call.service = choice.service;
     call.method = request.method;
     call.path = request.target;
-    call.headers = routed_headers(request.headers, platform_headers);
+    call.headers = routed_headers(
+        request.headers, platform_headers, access.configuration_version > 0);
     call.headers.push_back(
         {platform_headers.caller_service, this->tables.settings.node.service});
     call.body = std::move(request.body);
@@ -104,6 +172,15 @@
     call.repeatable = route.repeatable;
     call.root = new_call.id;
     call.priority = route.priority;
+    call.configuration_version = access.configuration_version;
+    if (access.workspace)
+    {
+        call.priority = access.workspace->priority.value_or(route.priority);
+        call.workspace = access.workspace->name;
+        call.key_id = access.key_id;
+        call.headers.push_back(
+            {platform_headers.workspace, access.workspace->name});
+    }
     this->apply_routed_context(
         new_call,
         http::find_header(request.headers, platform_headers.attempt_id));
@@ -131,6 +208,7 @@
     call.depth = parent->depth + 1;
     call.priority = parent->priority;
     call.rerun = parent->rerun;
+    call.workspace = parent->workspace;
 }
 
 answer_handler
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -34,6 +34,9 @@
 //! Long polls may use at most this fraction (1/n) of the store's permitted
 //! request rate, platform.reads_per_s.
 constexpr std::uint64_t long_poll_rate_divisor = 4;
+//! Digests that arrive within this time after the process has resumed may have
+//! been sent before; their ages are not trusted.
+constexpr base::duration_ms digest_distrust_time{200};
 constexpr std::int64_t ms_per_s = 1000;
 } // namespace
 
@@ -83,6 +86,15 @@
         this->state.with([&](follower_state& state)
                          { state.view.advance(revision); });
     };
+    events.on_current = [this](std::uint64_t revision, base::time_ms asked_at)
+    {
+        this->state.with(
+            [&](follower_state& state)
+            {
+                state.freshness.on_claim(revision, asked_at);
+                this->update_proof(state);
+            });
+    };
     events.on_lost = [this](const directory::store_error& error)
     {
         this->tables.record_event(
@@ -225,11 +237,13 @@
         {
             const auto nodes = state.view.target_count();
             this->update_watch(state, now);
-            const auto timeout = state.role.peers_to_notify.empty()
-                                     ? this->long_poll_timeout(nodes)
-                                     : announcing_long_poll_timeout;
+            const auto timeout =
+                state.role.peers_to_notify.empty() && !this->tables.needs_proof
+                    ? this->long_poll_timeout(nodes)
+                    : announcing_long_poll_timeout;
             state.watcher->tick(now, timeout);
             this->tables.directory_revision = state.view.revision();
+            this->update_proof(state);
             return state.view.tick(now);
         });
     this->apply(change);
@@ -240,6 +254,39 @@
     this->announce_revision(now);
     this->send_digest(now);
     this->restart_stalled_watch(now);
+    this->report_proof(now);
+}
+
+void directory_follower::update_proof(follower_state& state)
+{
+    state.freshness.on_revision(state.view.revision());
+    if (const auto proven_at = state.freshness.proven_at())
+    {
+        this->tables.view_proven_at_ms = proven_at->count;
+    }
+}
+
+void directory_follower::report_proof(base::time_ms now)
+{
+    const bool accepts = this->accepts_keys(now);
+    if (std::exchange(this->accepted_keys, accepts) == accepts)
+    {
+        return;
+    }
+    const auto age = this->tables.view_age(now);
+    this->tables.record_event(
+        {0, accepts ? "view_proven" : "view_unproven", 0, 0, "",
+         "age_ms=" + (age ? std::to_string(age->count) : "none")});
+}
+
+bool directory_follower::accepts_keys(base::time_ms now)
+{
+    return this->tables.access.with(
+        [&](access_table& access)
+        {
+            return access.workspaces.empty() ||
+                   access.limits.proves_validity(this->tables.view_age(now));
+        });
 }
 
 void directory_follower::on_resumed()
@@ -247,6 +294,7 @@
     this->state.with(
         [](follower_state& state)
         {
+            state.trust_digests_from = base::now() + digest_distrust_time;
             // Digests of watching nodes from before the suspension are
             // outdated, too.
             state.watching_peer_heard_at = {INT64_MIN / 2};
@@ -257,11 +305,12 @@
 
 bool directory_follower::is_ready()
 {
-    return this->state.with(
+    const bool known = this->state.with(
         [](follower_state& state)
         {
             return state.view.configuration().has_value() &&
                    !state.view.services().empty();
         });
+    return known && this->accepts_keys(base::now());
 }
 } // namespace bilberrytally::node
--- a/src/node/internal/directory_follower.hpp
+++ b/src/node/internal/directory_follower.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/guarded.hpp"
+#include "decisions/view_freshness.hpp"
 #include "decisions/watch_group.hpp"
 #include "directory/fleet_view.hpp"
 #include "directory/store_watcher.hpp"
@@ -44,7 +45,8 @@
     //! Applies the section [fleet] of reloaded settings.
     void set_fleet(const schema::node_settings::fleet_section& fleet);
 
-    //! True if routes and targets are known.
+    //! True if routes and targets are known and requests with access keys can
+    //! be judged.
     bool is_ready();
 
 private:
@@ -71,6 +73,10 @@
         base::time_ms queried_at{INT64_MIN / 2};
         base::time_ms next_announcement{INT64_MIN / 2};
         std::uint64_t announced_revision{0};
+        decisions::view_freshness freshness{};
+        //! Digests that arrive earlier may have waited in socket buffers while
+        //! the process was suspended.
+        base::time_ms trust_digests_from{INT64_MIN / 2};
     };
 
     //! Sends the known revision to one random peer.
@@ -78,6 +84,12 @@
     //! As a watching node, sends the known revision to the peers assigned to
     //! it.
     void announce_revision(base::time_ms now);
+    //! Takes over the proof of freshness that a peer states.
+    void on_peer_proof(
+        follower_state& state, const schema::directory_digest& digest,
+        base::time_ms now);
+    //! Age of this node's own proof, as sent in digests.
+    std::uint64_t proof_age_ms(base::time_ms now) const;
     void update_role();
     //! Pauses the watch of the store while another node watches on behalf of
     //! this one, and resumes it otherwise.
@@ -93,6 +105,15 @@
     void on_item(const schema::published_item& item);
     void apply(const directory::view_change& change);
     void apply_configuration();
+    void apply_access(const directory::fleet_configuration& configuration);
+    //! Publishes the proof of freshness in the tables.
+    void update_proof(follower_state& state);
+    //! Logs when requests with access keys start or stop to be refused because
+    //! the proof of freshness is too old.
+    void report_proof(base::time_ms now);
+    //! True if the proof of freshness is young enough to accept access keys, or
+    //! if there are no workspaces.
+    bool accepts_keys(base::time_ms now);
     void apply_targets(const std::string& service);
     void apply_local_policy();
     //! Sets this node's share of the fleet's retry budget.
@@ -107,6 +128,8 @@
     schema::node_settings::fleet_section fleet;
     //! The retry limits in force use retry_share_with_parent_ids.
     bool limits_use_parent_ids{false};
+    //! Whether keys were accepted at the last tick.
+    bool accepted_keys{false};
     transport::peer_network* network{nullptr};
     //! Has the rank of node_tables::documents, with which it is never locked
     //! together.
--- a/src/node/internal/directory_follower_apply.cpp
+++ b/src/node/internal/directory_follower_apply.cpp
@@ -81,10 +81,29 @@
     this->tables.routes.with(
         [&](directory::route_map& routes)
         { routes.replace(configuration.routes, this->tables.incarnation); });
+    this->apply_access(configuration);
     this->tables.record_event(
         {0, "configuration", 0, 0, "",
          "version=" + std::to_string(configuration.version) +
-             " routes=" + std::to_string(configuration.routes.size())});
+             " routes=" + std::to_string(configuration.routes.size()) +
+             " workspaces=" + std::to_string(configuration.workspaces.size())});
+}
+
+void directory_follower::apply_access(
+    const directory::fleet_configuration& configuration)
+{
+    const auto to_ms = [](double seconds)
+    { return base::duration_ms{std::llround(seconds * ms_per_s)}; };
+    const auto revocation =
+        this->fleet.strict_revocation ? this->fleet.revocation_s : 0;
+    this->tables.needs_proof = !configuration.workspaces.empty();
+    this->tables.access.with(
+        [&](access_table& access)
+        {
+            access.workspaces.replace(configuration);
+            access.limits = decisions::access_limits::create(
+                to_ms(this->fleet.apply_s), to_ms(revocation));
+        });
 }
 
 void directory_follower::apply_targets(const std::string& service)
--- a/src/node/internal/directory_follower_peers.cpp
+++ b/src/node/internal/directory_follower_peers.cpp
@@ -20,6 +20,8 @@
 //! A peer that has not answered a query by then is taken not to answer; another
 //! query may be sent.
 constexpr base::duration_ms query_timeout{100};
+//! Ages of proofs above this are of no use; it also rules out overflows.
+constexpr std::uint64_t max_proof_age_ms = 3600000;
 } // namespace
 
 void directory_follower::on_digest(const schema::directory_digest& digest)
@@ -41,6 +43,7 @@
             {
                 state.watching_peer_heard_at = now;
             }
+            this->on_peer_proof(state, digest, now);
         });
     const transport::peer_address peer{digest.host, digest.port};
     if (digest.revision > local_revision)
@@ -56,6 +59,27 @@
     }
 }
 
+void directory_follower::on_peer_proof(
+    follower_state& state, const schema::directory_digest& digest,
+    base::time_ms now)
+{
+    const bool has_proof = digest.proof_age_ms <= max_proof_age_ms;
+    if (!has_proof || now < state.trust_digests_from)
+    {
+        return;
+    }
+    const base::duration_ms age{static_cast<std::int64_t>(digest.proof_age_ms)};
+    const auto buffered = this->tables.suspensions.buffered_time(now);
+    state.freshness.on_claim(digest.revision, now - age - buffered);
+    this->update_proof(state);
+}
+
+std::uint64_t directory_follower::proof_age_ms(base::time_ms now) const
+{
+    const auto age = this->tables.view_age(now);
+    return age ? static_cast<std::uint64_t>(age->count) : UINT64_MAX;
+}
+
 void directory_follower::query_peer(
     const transport::peer_address& peer, std::uint64_t revision)
 {
@@ -137,7 +161,8 @@
 void directory_follower::send_digest(base::time_ms now)
 {
     const auto& local = this->tables.settings.node;
-    schema::directory_digest digest{local.address, local.node_port, 0, false};
+    schema::directory_digest digest{
+        local.address, local.node_port, 0, false, this->proof_age_ms(now)};
     const auto peer = this->state.with(
         [&](follower_state& state) -> std::optional<transport::peer_address>
         {
@@ -160,7 +185,8 @@
 void directory_follower::announce_revision(base::time_ms now)
 {
     const auto& local = this->tables.settings.node;
-    schema::directory_digest digest{local.address, local.node_port, 0, true};
+    schema::directory_digest digest{
+        local.address, local.node_port, 0, true, this->proof_age_ms(now)};
     const auto hosts = this->state.with(
         [&](follower_state& state) -> std::vector<std::string>
         {
--- a/src/node/internal/http_mapping.cpp
+++ b/src/node/internal/http_mapping.cpp
@@ -186,9 +186,31 @@
     return kept;
 }
 
+std::optional<std::string> access_key_of(const http::header_list& headers)
+{
+    constexpr std::string_view scheme = "bearer";
+    const auto value = http::find_header(headers, authorization_header);
+    if (value.empty())
+    {
+        return std::nullopt;
+    }
+    const auto space = value.find(' ');
+    const auto named = value.substr(0, space);
+    const bool is_bearer =
+        named.size() == scheme.size() && is_named_in(named, scheme);
+    const auto start = space == std::string_view::npos
+                           ? std::string_view::npos
+                           : value.find_first_not_of(' ', space);
+    if (!is_bearer || start == std::string_view::npos)
+    {
+        return std::string();
+    }
+    return std::string(value.substr(start));
+}
+
 http::header_list routed_headers(
     const http::header_list& headers,
-    const directory::header_names& platform_headers)
+    const directory::header_names& platform_headers, bool with_access)
 {
     const auto connection_value = http::find_header(headers, "connection");
     http::header_list kept;
@@ -198,7 +220,11 @@
             header.name == platform_headers.timeout ||
             header.name == platform_headers.expected_instance ||
             header.name == platform_headers.caller_service;
-        if (!set_by_node && !http::is_hop_by_hop(header.name) &&
+        const bool states_access =
+            with_access && (header.name == authorization_header ||
+                            header.name == platform_headers.workspace);
+        if (!set_by_node && !states_access &&
+            !http::is_hop_by_hop(header.name) &&
             !is_named_in(connection_value, header.name))
         {
             kept.push_back(header);
--- a/src/node/internal/http_mapping.hpp
+++ b/src/node/internal/http_mapping.hpp
@@ -25,6 +25,7 @@
 constexpr std::string_view next_key_header = "Idempotency-Key-Next";
 constexpr std::string_view trace_parent_header = "traceparent";
 constexpr std::string_view trace_state_header = "tracestate";
+constexpr std::string_view authorization_header = "authorization";
 //! Member of tracestate that holds the id of the inbound call at the target's
 //! node, in 16 hexadecimal digits.
 constexpr std::string_view trace_member = "bilberrytally=";
@@ -62,12 +63,18 @@
 //! members of \p existing.
 std::string trace_state_for(std::uint64_t call, std::string_view existing);
 
+//! The access key that a request carries as a bearer token; empty if its
+//! Authorization header holds no bearer token, nothing if it has no such
+//! header.
+std::optional<std::string> access_key_of(const http::header_list& headers);
+
 //! Headers of a request that are passed on to a target in routed mode. Left out
 //! are hop-by-hop headers, those named in Connection, and the time-out,
-//! expected-instance and caller-service headers of the platform.
+//! expected-instance and caller-service headers of the platform. Those that
+//! state an access key or a workspace are left out if \p with_access is set.
 http::header_list routed_headers(
     const http::header_list& headers,
-    const directory::header_names& platform_headers);
+    const directory::header_names& platform_headers, bool with_access);
 
 //! Response to a caller in routed mode: that of the backend server with its
 //! end_to_end_headers(), 503 with Retry-After where the request did not run,
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -53,6 +53,16 @@
            target.port == this->settings.node.node_port;
 }
 
+std::optional<base::duration_ms> node_tables::view_age(base::time_ms now) const
+{
+    const auto proven_at_ms = this->view_proven_at_ms.load();
+    if (proven_at_ms < 0)
+    {
+        return std::nullopt;
+    }
+    return now - base::time_ms{proven_at_ms};
+}
+
 base::time_ms node_tables::latest_deadline() const
 {
     return {this->latest_deadline_ms};
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/guarded.hpp"
+#include "decisions/access_rule.hpp"
 #include "decisions/document_store.hpp"
 #include "decisions/fleet_retry_budget.hpp"
 #include "decisions/key_records.hpp"
@@ -13,6 +14,7 @@
 #include "decisions/target_table.hpp"
 #include "directory/header_names.hpp"
 #include "directory/route_map.hpp"
+#include "directory/workspace_directory.hpp"
 #include "node/internal/event_loop_monitor.hpp"
 #include "node/internal/metrics.hpp"
 #include "node/internal/suspension_detector.hpp"
@@ -49,6 +51,13 @@
     std::mt19937_64 random;
 };
 
+//! Who may send requests, in routed mode.
+struct access_table
+{
+    directory::workspace_directory workspaces;
+    decisions::access_limits limits;
+};
+
 //! Lock ranks of the shared tables. A thread acquires locks in ascending rank
 //! only, which rules out deadlocks. The connections (60) and the timeline (90)
 //! have the highest ranks.
@@ -58,6 +67,7 @@
 constexpr int outbound_calls_rank = 20;
 constexpr int inbound_calls_rank = 30;
 constexpr int routing_rank = 40;
+constexpr int access_rank = 45;
 
 //! Interval of the node's repeating work.
 constexpr base::duration_ms tick_interval{10};
@@ -97,6 +107,10 @@
     //! Events of kind "answer" are not logged.
     void record_event(timeline::event entry);
 
+    //! Age of the proof that this node's copy of the store is the newest state;
+    //! nothing without proof.
+    std::optional<base::duration_ms> view_age(base::time_ms now) const;
+
     //! Latest deadline of the calls that are still taken.
     base::time_ms latest_deadline() const;
 
@@ -118,6 +132,13 @@
     std::atomic<std::int64_t> latest_deadline_ms{INT64_MAX};
     //! Store revision up to which the targets are known, in routed mode.
     std::atomic<std::uint64_t> directory_revision{0};
+    //! When the store was asked for the newest state that this node's copy is
+    //! proven to hold, in ms on the monotonic clock; INT64_MIN / 2 without
+    //! proof, so that the time since then does not overflow.
+    std::atomic<std::int64_t> view_proven_at_ms{INT64_MIN / 2};
+    //! The configuration has workspaces, so that requests are judged by the
+    //! proof of freshness.
+    std::atomic<bool> needs_proof{false};
     //! Set once the id of a nested call has identified its parent call.
     std::atomic<bool> parent_ids_seen{false};
     //! Time of the last failure of an outbound call, in ms on the monotonic
@@ -127,6 +148,7 @@
     base::guarded<decisions::key_records, keys_rank> keys;
     base::guarded<decisions::document_store, documents_rank> documents;
     base::guarded<directory::route_map, routes_rank> routes;
+    base::guarded<access_table, access_rank> access;
     base::guarded<routing_table, routing_rank> routing;
 };
 } // namespace bilberrytally::node
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -38,6 +38,8 @@
     bool within_budget{true};
     //! Id of the inbound call that causes the nested call.
     std::uint64_t inbound_id{0};
+    //! Workspace of the root request; empty for none.
+    std::string workspace;
 };
 
 //! An inbound call as shown to operators.
@@ -200,6 +202,9 @@
     //! Since when this node has known by the instance list that the target of
     //! the call is leaving or gone; nothing if it is neither.
     std::optional<base::time_ms> leaving_since(const schema::call& call) const;
+    //! True if the access key of the call has been removed by a configuration
+    //! that is newer than the one by which the caller's node accepted it.
+    bool is_key_revoked(const schema::call& call) const;
     //! True if this node or the target of the call takes no new calls.
     bool is_draining(const schema::call& call) const;
     std::optional<schema::refusal>
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -149,6 +149,11 @@
                 reason = refusal::draining;
                 return;
             }
+            if (this->is_key_revoked(call.message))
+            {
+                reason = refusal::key_revoked;
+                return;
+            }
             call.state = call_state::running;
             call.started = now;
             transfer = this->make_transfer(id, call, now);
@@ -186,7 +191,22 @@
         {
             const auto found = table.calls.find(id);
             return found != table.calls.end() &&
-                   !this->leaving_since(found->second.message);
+                   !this->leaving_since(found->second.message) &&
+                   !this->is_key_revoked(found->second.message);
+        });
+}
+
+bool target_side::is_key_revoked(const schema::call& call) const
+{
+    if (call.key_id == 0)
+    {
+        return false;
+    }
+    return this->tables.access.with(
+        [&](access_table& access)
+        {
+            return access.workspaces.version() > call.configuration_version &&
+                   !access.workspaces.contains(call.key_id);
         });
 }
 
--- a/src/node/internal/target_side_nested.cpp
+++ b/src/node/internal/target_side_nested.cpp
@@ -26,7 +26,8 @@
                 call.budget.take_for_nested_call(),
                 call.message.rerun,
                 within_budget,
-                inbound_id};
+                inbound_id,
+                call.message.workspace};
         });
 }
 
@@ -58,7 +59,8 @@
                 0,
                 call.message.rerun,
                 true,
-                found->second};
+                found->second,
+                call.message.workspace};
         });
 }
 
