Log the loss of the proof of freshness only after it was needed

Cause: each start logged that keys are accepted, also in fleets without workspaces. Change: the first state counts as accepting.

--- a/src/node/internal/directory_follower.hpp
+++ b/src/node/internal/directory_follower.hpp
@@ -129,7 +129,7 @@
     //! The retry limits in force use retry_share_with_parent_ids.
     bool limits_use_parent_ids{false};
     //! Whether keys were accepted at the last tick.
-    bool accepted_keys{false};
+    bool accepted_keys{true};
     transport::peer_network* network{nullptr};
     //! Has the rank of node_tables::documents, with which it is never locked
     //! together.
