--- a/src/decisions/tests/quota_fleet_test.cpp
+++ b/src/decisions/tests/quota_fleet_test.cpp
@@ -4,6 +4,8 @@
 #include <rapidcheck.h>
 
 #include <cmath>
+#include <functional>
+#include <vector>
 
 using namespace bilberrytally;
 using namespace bilberrytally::decisions;
@@ -11,6 +13,7 @@
 
 namespace
 {
+using quota_fleet::tick_ms;
 constexpr double ms_per_s = 1000;
 
 //! Seed of a random history. The number of histories is set by RC_PARAMS, for
@@ -31,6 +34,57 @@
         bursts[static_cast<std::size_t>(draws.draw(0, 3))]};
 }
 
+//! A step of a scenario, at its time.
+struct planned_step
+{
+    std::int64_t at{0};
+    std::function<void(fleet&)> run;
+};
+
+//! Changes the listing of a node and changes it back, while some nodes are cut
+//! from the store, so that they see only one of the changes, or none.
+std::vector<planned_step> plan_flap(fleet& members, std::size_t index)
+{
+    const auto age = members.max_proof_age.count;
+    const auto first = members.now + members.draw(0, age);
+    const auto second =
+        first + members.draw(tick_ms, members.chance(0.5) ? age : 4 * age);
+    const auto toggle = [index](fleet& changed)
+    {
+        changed.listed[index].listed = !changed.listed[index].listed;
+        ++changed.listed[index].version;
+    };
+    const bool others_cut = members.chance(0.5);
+    const auto cut = [index](bool node_cut, bool rest_cut)
+    {
+        return [=](fleet& changed)
+        {
+            for (std::size_t i = 0; i < changed.nodes.size(); ++i)
+            {
+                changed.nodes[i].cut_from_store =
+                    i == index ? node_cut : rest_cut;
+            }
+        };
+    };
+    std::vector<planned_step> result{
+        {first - members.draw(0, age / 4), cut(false, others_cut)},
+        {first, toggle},
+        {second, toggle},
+        {second + age, cut(false, false)}};
+    if (members.chance(0.5))
+    {
+        // Only after the change has arrived at the others.
+        result.push_back(
+            {second - members.draw(0, second - first),
+             cut(others_cut, !others_cut)});
+    }
+    else
+    {
+        result.push_back({second, cut(others_cut, !others_cut)});
+    }
+    return result;
+}
+
 //! Something that happens to the fleet.
 void disturb(fleet& members, const quota_limit& limit)
 {
@@ -116,7 +170,11 @@
         setup(), nodes, static_cast<std::size_t>(draw(1, 3)), age, limit);
     members.link.loss = draw(0, 3) == 0 ? 0.2 : 0;
     members.link.disorder = draw(0, 1) == 0 ? 0.1 : 0;
-    const double events_per_s = static_cast<double>(draw(1, 40)) / 10;
+    // Half of the histories concentrate on changes of the list.
+    const bool flaps = draw(0, 1) == 0;
+    const double flaps_per_s = flaps ? 1 : 0;
+    const double events_per_s =
+        static_cast<double>(flaps ? draw(0, 2) : draw(1, 40)) / 10;
     const double overload = static_cast<double>(draw(5, 75)) / 10;
     for (auto& member : members.nodes)
     {
@@ -124,9 +182,27 @@
             overload * limit.rate_per_s / static_cast<double>(nodes);
     }
     const auto end = 3 * age.count + draw(8000, 14000);
+    std::vector<planned_step> plan;
     while (members.now < end)
     {
         members.step();
+        if (plan.empty() && members.chance(flaps_per_s * tick_ms / ms_per_s))
+        {
+            plan = plan_flap(
+                members, static_cast<std::size_t>(members.draw(
+                             0, static_cast<std::int64_t>(nodes) - 1)));
+        }
+        std::erase_if(
+            plan,
+            [&](const auto& step)
+            {
+                const bool due = step.at <= members.now;
+                if (due)
+                {
+                    step.run(members);
+                }
+                return due;
+            });
         if (members.chance(events_per_s * quota_fleet::tick_ms / ms_per_s))
         {
             disturb(members, limit);
