--- a/src/decisions/internal/quota_tokens.cpp
+++ b/src/decisions/internal/quota_tokens.cpp
@@ -22,8 +22,10 @@
 constexpr double demand_ahead_s = 0.25;
 //! Time constant of the averages of requests and refusals.
 constexpr double average_s = 1;
-//! Time until a slot that has granted nothing is asked again.
+//! Time until a slot that has granted nothing is asked again. It doubles with
+//! each such answer, as many nodes then compete for the slot.
 constexpr base::duration_ms empty_retry{50};
+constexpr base::duration_ms max_competing_retry{200};
 //! Longest time until an empty slot is asked again. Other nodes' tokens may
 //! have been lost, or the limit raised.
 constexpr base::duration_ms max_empty_retry{500};
@@ -296,6 +298,11 @@
     state.answered_at = now;
     state.next_at = now + grant.next;
     state.ask_due = now;
+    state.empty_retry =
+        grant.granted > 0
+            ? empty_retry
+            : std::clamp(
+                  state.empty_retry * 2, empty_retry, max_competing_retry);
     if (!grant.granting)
     {
         state.ask_due = now + not_granting_retry;
@@ -304,7 +311,7 @@
     if (grant.left == 0)
     {
         state.ask_due =
-            now + std::clamp(grant.next, empty_retry, max_empty_retry);
+            now + std::clamp(grant.next, state.empty_retry, max_empty_retry);
     }
     const auto expires_at = asked.asked_at + this->lifetime;
     if (grant.granted > 0 && now < expires_at)
--- a/src/decisions/quota_tokens.hpp
+++ b/src/decisions/quota_tokens.hpp
@@ -126,6 +126,8 @@
         std::vector<open_ask> open;
         base::time_ms ask_due{INT64_MIN / 2};
         base::duration_ms backoff;
+        //! Least time until the slot is asked again when it is empty.
+        base::duration_ms empty_retry;
         bool answered{false};
         bool granting{false};
         //! Tokens that were left at \c answered_at.
--- a/src/node/internal/frame_dispatcher.cpp
+++ b/src/node/internal/frame_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "node/internal/caller_side.hpp"
 #include "node/internal/directory_follower.hpp"
 #include "node/internal/document_gossip.hpp"
+#include "node/internal/quota_exchange.hpp"
 #include "node/internal/target_side.hpp"
 #include "transport/message_codec.hpp"
 
@@ -28,6 +29,11 @@
     this->directory = &directory;
 }
 
+void frame_dispatcher::set_quota(quota_exchange& quota)
+{
+    this->quota = &quota;
+}
+
 void frame_dispatcher::on_peer_availability(const schema::hello& peer)
 {
     const auto now = base::now();
@@ -173,5 +179,18 @@
             frame,
             [&](const auto& digest) { this->gossip->on_digest(digest); });
     }
+    if (frame.kind == transport::frame_kind::quota_request &&
+        this->quota != nullptr)
+    {
+        this->decode_and_handle<schema::quota_request>(
+            frame,
+            [&](const auto& request) { this->quota->on_request(request); });
+    }
+    if (frame.kind == transport::frame_kind::quota_grant &&
+        this->quota != nullptr)
+    {
+        this->decode_and_handle<schema::quota_grant>(
+            frame, [&](const auto& grant) { this->quota->on_grant(grant); });
+    }
 }
 } // namespace bilberrytally::node
--- a/src/node/internal/frame_dispatcher.hpp
+++ b/src/node/internal/frame_dispatcher.hpp
@@ -10,6 +10,7 @@
 class caller_side;
 class directory_follower;
 class document_gossip;
+class quota_exchange;
 class target_side;
 
 //! Decodes the frames of other nodes and hands them to the part of this node
@@ -25,6 +26,7 @@
     //! rejected until then.
     void set_gossip(document_gossip& gossip);
     void set_directory(directory_follower& directory);
+    void set_quota(quota_exchange& quota);
 
     void on_frame(transport::link_id link, transport::frame frame);
     void on_datagram(const transport::frame& frame);
@@ -46,5 +48,6 @@
     caller_side& outbound_calls;
     document_gossip* gossip{nullptr};
     directory_follower* directory{nullptr};
+    quota_exchange* quota{nullptr};
 };
 } // namespace bilberrytally::node
--- a/src/node/internal/metrics.cpp
+++ b/src/node/internal/metrics.cpp
@@ -40,6 +40,12 @@
                  .Name("bilberrytally_state")
                  .Help("Current state by name.")
                  .Register(*this->registry)),
+      workspace_rates(
+          prometheus::BuildGauge()
+              .Name("bilberrytally_workspace_requests_per_second")
+              .Help("Requests with a quota by workspace and outcome: "
+                    "the heaviest workspaces, the rest together.")
+              .Register(*this->registry)),
       request_seconds(add_histogram(
           *this->registry, "bilberrytally_request_duration_seconds",
           "Time from a caller's request to its response.")),
@@ -82,6 +88,29 @@
     this->gauges.Add({{"name", name}}).Set(value);
 }
 
+void metrics::set_workspace_use(const std::vector<workspace_use>& uses)
+{
+    for (auto* gauge : this->current_workspace_rates)
+    {
+        this->workspace_rates.Remove(gauge);
+    }
+    this->current_workspace_rates.clear();
+    const auto add = [this](
+                         const std::string& workspace,
+                         const std::string& outcome, double per_s)
+    {
+        auto& gauge = this->workspace_rates.Add(
+            {{"workspace", workspace}, {"outcome", outcome}});
+        gauge.Set(per_s);
+        this->current_workspace_rates.push_back(&gauge);
+    };
+    for (const auto& use : uses)
+    {
+        add(use.workspace, "granted", use.granted_per_s);
+        add(use.workspace, "refused", use.refused_per_s);
+    }
+}
+
 std::string metrics::expose() const
 {
     return prometheus::TextSerializer().Serialize(this->registry->Collect());
--- a/src/node/internal/metrics.hpp
+++ b/src/node/internal/metrics.hpp
@@ -16,6 +16,16 @@
 
 namespace bilberrytally::node
 {
+//! Requests of a workspace that needed tokens of its quota, a second.
+struct workspace_use
+{
+    std::string workspace;
+    double granted_per_s{0};
+    double refused_per_s{0};
+
+    bool operator==(const workspace_use&) const = default;
+};
+
 //! Metrics of a node, named by the Prometheus conventions.
 class metrics
 {
@@ -36,6 +46,9 @@
 
     void set_gauge(const std::string& name, double value);
 
+    //! Replaces the use by workspace. Callers bound the number of workspaces.
+    void set_workspace_use(const std::vector<workspace_use>& uses);
+
     //! All metrics in the Prometheus text exposition format.
     std::string expose() const;
 
@@ -44,6 +57,8 @@
     prometheus::Family<prometheus::Counter>& requests;
     prometheus::Family<prometheus::Counter>& events;
     prometheus::Family<prometheus::Gauge>& gauges;
+    prometheus::Family<prometheus::Gauge>& workspace_rates;
+    std::vector<prometheus::Gauge*> current_workspace_rates;
     prometheus::Histogram& request_seconds;
     prometheus::Histogram& queue_seconds;
     prometheus::Histogram& service_seconds;
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -388,6 +388,86 @@
         archive(this->items, this->revision, this->complete);
     }
 };
+//! Asks for tokens of one slot of a workspace's quota.
+struct quota_ask
+{
+    //! Id of the workspace's quota: a hash of its name.
+    std::uint64_t workspace{0};
+    //! Number of the slot.
+    std::uint32_t slot{0};
+    //! Largest number of tokens to grant.
+    std::uint32_t wanted{0};
+
+    bool operator==(const quota_ask&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->workspace, this->slot, this->wanted);
+    }
+};
+//! Asks a holder of slots for tokens; a datagram.
+struct quota_request
+{
+    //! Sender's host address.
+    std::string host{};
+    //! Sender's node port, TCP and UDP.
+    std::uint32_t port{0};
+    //! Number that the answer repeats.
+    std::uint64_t number{0};
+    //! What is asked, one entry per slot.
+    std::vector<quota_ask> asks{};
+
+    bool operator==(const quota_request&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->host, this->port, this->number, this->asks);
+    }
+};
+//! Tokens of one slot of a workspace's quota.
+struct quota_slot_grant
+{
+    //! Id of the workspace's quota: a hash of its name.
+    std::uint64_t workspace{0};
+    //! Number of the slot.
+    std::uint32_t slot{0};
+    //! False if the sender may not grant tokens of the slot now.
+    bool granting{false};
+    //! Number of tokens granted.
+    std::uint32_t granted{0};
+    //! Whole tokens that are left in the slot.
+    std::uint32_t left{0};
+    //! Time until the slot has a token, ms; 0 if tokens are left.
+    std::uint32_t next_ms{0};
+
+    bool operator==(const quota_slot_grant&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(
+            this->workspace, this->slot, this->granting, this->granted,
+            this->left, this->next_ms);
+    }
+};
+//! Response to a quota_request; a datagram.
+struct quota_grant
+{
+    //! Number of the request.
+    std::uint64_t number{0};
+    //! Answers, one entry per slot that was asked.
+    std::vector<quota_slot_grant> grants{};
+
+    bool operator==(const quota_grant&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->number, this->grants);
+    }
+};
 //! A ticket or an instance list, as published.
 struct document
 {
--- a/src/transport/frame.hpp
+++ b/src/transport/frame.hpp
@@ -27,6 +27,8 @@
     item_query,       //!< Asks a peer for items of the directory.
     item_list,        //!< Items of the directory.
     crash_query,      //!< Asks a peer for the crash reports that it knows.
+    quota_request,    //!< Asks a holder of quota slots for tokens, a datagram.
+    quota_grant,      //!< Tokens of quota slots, a datagram.
 };
 
 //! Contents of the fixed-size header that precedes each body.
