--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -381,6 +381,7 @@
 
 void caller_side::on_connection_closed(std::uint64_t connection)
 {
+    this->drop_quota_waits(connection);
     const auto call_ids = this->outbound_calls.with(
         [&](outbound_call_table& table)
         {
@@ -479,7 +480,8 @@
 
 std::size_t caller_side::call_count()
 {
-    return this->outbound_calls.with([](outbound_call_table& table)
-                                     { return table.calls.size(); });
+    return this->outbound_calls.with(
+        [](outbound_call_table& table)
+        { return table.calls.size() + table.quota_waits.size(); });
 }
 } // namespace bilberrytally::node
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -6,6 +6,7 @@
 #include "node/internal/issued_key.hpp"
 #include "node/internal/node_tables.hpp"
 #include "node/internal/outbound_call.hpp"
+#include "node/internal/quota_exchange.hpp"
 #include "node/internal/target_side.hpp"
 #include "transport/peer_network.hpp"
 
@@ -38,6 +39,9 @@
     //! Sets the server that sends the responses, once it is open.
     void set_server(const http::http_server& server);
 
+    //! Sets the part that decides on the quotas of workspaces (routed mode).
+    void set_quota(quota_exchange& quota);
+
     //! Handles a request of a caller or of the local backend server and passes
     //! the response to \p respond.
     void on_request(
@@ -76,7 +80,8 @@
 
     //! Connections on which at least one attempt awaits its answer.
     std::set<transport::link_id> links_awaiting_answers();
-    //! Number of outbound calls in flight.
+    //! Number of outbound calls in flight, those that wait for a quota
+    //! included.
     std::size_t call_count();
 
 private:
@@ -149,6 +154,16 @@
     //! Answers a request that check_access() has not granted.
     void refuse_access(
         decisions::access_decision decision, const http::respond& respond);
+    //! Starts a call if and when it is within the quota of its workspace.
+    void start_within_quota(
+        outbound_call new_call,
+        std::shared_ptr<const directory::workspace> owner,
+        http::respond respond);
+    //! Starts or refuses a call that has waited for its quota, unless its
+    //! caller has gone.
+    void on_quota_decision(std::uint64_t id, const quota_decision& decision);
+    //! Forgets the calls of a connection that wait for a quota.
+    void drop_quota_waits(std::uint64_t connection);
     outbound_call make_routed_call(
         std::uint64_t connection, http::request request,
         const directory::route_choice& choice, const access_result& access);
@@ -258,6 +273,7 @@
     target_side& targets;
     transport::peer_network* network{nullptr};
     std::atomic<const http::http_server*> server{nullptr};
+    quota_exchange* quota{nullptr};
     base::guarded<outbound_call_table, outbound_calls_rank> outbound_calls;
 };
 } // namespace bilberrytally::node
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -70,12 +70,20 @@
     }
     auto new_call =
         this->make_routed_call(connection, std::move(request), choice, access);
-    new_call.reply = this->make_routed_reply(new_call, std::move(respond));
+    new_call.reply = this->make_routed_reply(new_call, respond);
     if (!this->take_while_stopping(new_call))
     {
         this->refuse_stopping(new_call);
         return;
     }
+    const bool has_quota = new_call.parent == 0 && access.workspace &&
+                           access.workspace->rate_per_s > 0;
+    if (has_quota)
+    {
+        this->start_within_quota(
+            std::move(new_call), access.workspace, std::move(respond));
+        return;
+    }
     this->start_call(std::move(new_call));
 }
 
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -44,9 +44,9 @@
     node_tables& tables, const platform_adapter& adapter,
     std::unique_ptr<directory::store_client> store,
     std::function<void(const schema::service_policy&)> on_local_policy,
-    std::function<void()> on_targets_changed)
+    std::function<void()> on_targets_changed, quota_exchange& quota)
     : tables(tables), on_local_policy(std::move(on_local_policy)),
-      on_targets_changed(std::move(on_targets_changed)),
+      on_targets_changed(std::move(on_targets_changed)), quota(quota),
       fleet(tables.settings.fleet),
       state(follower_state{
           directory::fleet_view(
--- a/src/node/internal/directory_follower.hpp
+++ b/src/node/internal/directory_follower.hpp
@@ -6,6 +6,7 @@
 #include "directory/fleet_view.hpp"
 #include "directory/store_watcher.hpp"
 #include "node/internal/node_tables.hpp"
+#include "node/internal/quota_exchange.hpp"
 #include "node/platform_adapter.hpp"
 #include "transport/peer_network.hpp"
 
@@ -29,7 +30,7 @@
         node_tables& tables, const platform_adapter& adapter,
         std::unique_ptr<directory::store_client> store,
         std::function<void(const schema::service_policy&)> on_local_policy,
-        std::function<void()> on_targets_changed);
+        std::function<void()> on_targets_changed, quota_exchange& quota);
 
     void set_network(transport::peer_network& network);
 
@@ -105,6 +106,8 @@
     void on_item(const schema::published_item& item);
     void apply(const directory::view_change& change);
     void apply_configuration();
+    //! Tells the quota exchange which nodes there are.
+    void apply_nodes();
     void apply_access(const directory::fleet_configuration& configuration);
     //! Publishes the proof of freshness in the tables.
     void update_proof(follower_state& state);
@@ -125,6 +128,7 @@
     node_tables& tables;
     std::function<void(const schema::service_policy&)> on_local_policy;
     std::function<void()> on_targets_changed;
+    quota_exchange& quota;
     schema::node_settings::fleet_section fleet;
     //! The retry limits in force use retry_share_with_parent_ids.
     bool limits_use_parent_ids{false};
--- a/src/node/internal/directory_follower_apply.cpp
+++ b/src/node/internal/directory_follower_apply.cpp
@@ -36,6 +36,7 @@
     if (!change.services.empty())
     {
         this->on_targets_changed();
+        this->apply_nodes();
         this->update_role();
     }
     if (change.configuration_changed || !change.services.empty())
@@ -97,6 +98,7 @@
     const auto revocation =
         this->fleet.strict_revocation ? this->fleet.revocation_s : 0;
     this->tables.needs_proof = !configuration.workspaces.empty();
+    this->quota.apply_workspaces(configuration.workspaces);
     this->tables.access.with(
         [&](access_table& access)
         {
@@ -106,6 +108,23 @@
         });
 }
 
+void directory_follower::apply_nodes()
+{
+    std::vector<quota_node> nodes;
+    this->state.with(
+        [&](follower_state& state)
+        {
+            for (const auto& target : state.view.all_targets())
+            {
+                nodes.push_back(
+                    {target.host, target.zone,
+                     target.phase == directory::target_phase::draining,
+                     target.started_at_ms});
+            }
+        });
+    this->quota.apply_nodes(std::move(nodes));
+}
+
 void directory_follower::apply_targets(const std::string& service)
 {
     const auto now = base::now();
--- a/src/node/internal/http_mapping.cpp
+++ b/src/node/internal/http_mapping.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 constexpr std::uint32_t bad_gateway = 502;
+constexpr std::uint32_t too_many_requests = 429;
 constexpr std::uint32_t unavailable = 503;
 constexpr std::uint32_t gateway_timeout = 504;
 constexpr std::int64_t ms_per_s = 1000;
@@ -249,7 +250,9 @@
     response.body = schema::to_string(answer.reason);
     if (verdict == base::verdict::not_run)
     {
-        response.status = unavailable;
+        response.status = answer.reason == schema::refusal::quota
+                              ? too_many_requests
+                              : unavailable;
         response.headers.push_back(
             {"Retry-After",
              fmt::format(
--- a/src/node/internal/http_mapping.hpp
+++ b/src/node/internal/http_mapping.hpp
@@ -77,7 +77,8 @@
     const directory::header_names& platform_headers, bool with_access);
 
 //! Response to a caller in routed mode: that of the backend server with its
-//! end_to_end_headers(), 503 with Retry-After where the request did not run,
+//! end_to_end_headers(), 503 with Retry-After where the request did not run
+//! (429 if it exceeds a quota),
 //! else 502, or 504 after a time-out.
 http::response
 to_routed_response(schema::answer answer, base::duration_ms retry_after);
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -8,6 +8,7 @@
 #include "node/internal/document_gossip.hpp"
 #include "node/internal/event_loop_monitor.hpp"
 #include "node/internal/frame_dispatcher.hpp"
+#include "node/internal/quota_exchange.hpp"
 #include "node/internal/settings_file.hpp"
 #include "node/internal/target_side.hpp"
 #include "transport/message_codec.hpp"
@@ -213,11 +214,17 @@
                 "[node] workers", "expected 1 with [platform] store");
         }
         BOOST_LEAF_AUTO(client, this->adapter.make_store(this->context, store));
+        this->quota = std::make_unique<quota_exchange>(
+            this->tables,
+            [this] { return this->tables.view_age(base::now()); });
+        this->quota->set_network(*this->network);
+        this->outbound_calls.set_quota(*this->quota);
+        this->frames.set_quota(*this->quota);
         this->directory = std::make_unique<directory_follower>(
             this->tables, this->adapter, std::move(client),
             [this](const schema::service_policy& policy)
             { this->inbound_calls.on_policy(policy); },
-            [this] { this->inbound_calls.refuse_leaving(); });
+            [this] { this->inbound_calls.refuse_leaving(); }, *this->quota);
         this->frames.set_directory(*this->directory);
         this->directory->set_network(*this->network);
         return {};
@@ -387,6 +394,7 @@
         if (this->directory)
         {
             this->directory->tick(now);
+            this->quota->tick(now);
         }
         else
         {
@@ -506,6 +514,7 @@
     target_side inbound_calls;
     caller_side outbound_calls;
     std::unique_ptr<document_gossip> gossip;
+    std::unique_ptr<quota_exchange> quota;
     std::unique_ptr<directory_follower> directory;
     std::unique_ptr<admin_api> admin;
     std::unique_ptr<transport::peer_network> network;
--- a/src/node/internal/outbound_call.hpp
+++ b/src/node/internal/outbound_call.hpp
@@ -5,6 +5,7 @@
 #include "decisions/key_records.hpp"
 #include "decisions/retry_budget.hpp"
 #include "decisions/target_table.hpp"
+#include "http/http_server.hpp"
 #include "node/internal/target_side.hpp"
 #include "schema/messages.hpp"
 #include "transport/peer_network.hpp"
@@ -103,6 +104,13 @@
     void set_current_attempt(const attempt_state& state);
 };
 
+//! A request that waits for the decision on its workspace's quota.
+struct quota_wait
+{
+    outbound_call call;
+    http::respond respond;
+};
+
 //! Outbound calls in flight with their indexes, and the sends that wait for the
 //! record of an idempotency key.
 struct outbound_call_table
@@ -126,6 +134,8 @@
     //! Sends that wait for the answer to an earlier send with the same key, by
     //! service and key.
     std::map<std::string, std::vector<answer_handler>> waiting_sends;
+    //! Requests that wait for a quota, by call id. They are in no index.
+    std::unordered_map<std::uint64_t, quota_wait> quota_waits;
     std::uint64_t next_attempt{1};
 
     //! Adds a call to all indexes.
