--- a/src/decisions/internal/target_choice.cpp
+++ b/src/decisions/internal/target_choice.cpp
@@ -77,7 +77,12 @@
     {
         return std::nullopt;
     }
-    return this->better_of_two(pool, random, now)->address;
+    auto* best = this->best_by_cost(pool, profile, random, now);
+    if (best == nullptr)
+    {
+        best = this->better_of_two(pool, random, now);
+    }
+    return best->address;
 }
 
 std::optional<target_address>
@@ -145,18 +150,21 @@
     // before its answers do.
     const double latency =
         std::max({candidate.latency_ms, unanswered_ms(candidate, now), 1.0});
-    double share = 1;
-    if (candidate.needs_warmup)
-    {
-        const auto age =
-            static_cast<double>((now - candidate.first_seen).count);
-        share = std::clamp(
-            age / static_cast<double>(warmup_duration.count),
-            warmup_lowest_share, 1.0);
-    }
     const double served_share =
         1 - std::min(candidate.failed_share, max_failed_share);
-    return load * latency / (share * served_share);
+    return load * latency / (warmup_share(candidate, now) * served_share);
+}
+
+double target_table::warmup_share(const target& candidate, base::time_ms now)
+{
+    if (!candidate.needs_warmup)
+    {
+        return 1;
+    }
+    const auto age = static_cast<double>((now - candidate.first_seen).count);
+    return std::clamp(
+        age / static_cast<double>(warmup_duration.count), warmup_lowest_share,
+        1.0);
 }
 
 double target_table::unanswered_ms(const target& candidate, base::time_ms now)
@@ -265,8 +273,11 @@
         double lowest_ms = std::numeric_limits<double>::max();
         for (const auto* candidate : pool)
         {
-            lowest_ms = std::min(
-                lowest_ms, this->expected_ms(*candidate, profile, now));
+            const double expected =
+                this->placed_by_cost
+                    ? this->completion_ms(*candidate, profile, now)
+                    : this->expected_ms(*candidate, profile, now);
+            lowest_ms = std::min(lowest_ms, expected);
         }
         return lowest_ms;
     };
--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -158,7 +158,8 @@
         });
 }
 
-void target_table::on_dispatch(const std::string& instance, base::time_ms now)
+void target_table::on_dispatch(
+    const std::string& instance, base::time_ms now, std::uint64_t kind)
 {
     const auto found = this->targets.find(instance);
     if (found == this->targets.end())
@@ -171,6 +172,11 @@
         target.unanswered_since = now;
     }
     ++target.in_flight;
+    if (this->placed_by_cost)
+    {
+        ++target.sent_calls;
+        target.sent_work_ms += this->costs.expected_ms(kind);
+    }
 }
 
 void target_table::on_result(
@@ -219,6 +225,7 @@
                       latency_weight * (sample - target.latency_ms);
         ++target.samples;
     }
+    this->update_costs(target, result, now);
     this->update_ejection(target, now);
 }
 
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "decisions/call_cost.hpp"
 #include "decisions/policy_variant.hpp"
 #include "schema/documents.hpp"
 #include "schema/messages.hpp"
@@ -66,6 +67,13 @@
     //! The backend server itself failed or rejected the call, although its
     //! node admitted it. Its latency says nothing about served calls.
     bool backend_failed{false};
+    //! Kind of the call, as in its call_profile.
+    std::uint64_t kind{0};
+    //! Time in ms from the dispatch to the answer; unlike \c latency never a
+    //! percentage.
+    base::duration_ms elapsed;
+    //! Service time at the backend server; nothing if the target did not tell.
+    std::optional<base::duration_ms> service_time;
 };
 
 //! What the caller's node knows about a call before it chooses a target.
@@ -78,6 +86,8 @@
     base::duration_ms latency_objective;
     //! Class by which targets shed the call; 0 is shed last.
     std::uint32_t shed_class{0};
+    //! Kind of calls that cost alike, see call_kind(); 0 if unknown.
+    std::uint64_t kind{0};
 
     bool operator==(const call_profile&) const = default;
 };
@@ -87,6 +97,11 @@
 //! availability zone, and takes the better of two random targets by in-flight
 //! calls times recent latency. Where the latency objective of a call is known,
 //! share_leaving_zone() decides how many calls leave the local zone.
+//!
+//! With placement by cost, targets are compared by the time at which a call is
+//! expected to complete there: the work that the target reported as left, the
+//! calls sent to it since, and the call's own cost at the target's speed.
+//! Reports that grow old lose their part in the choice.
 class target_table
 {
 public:
@@ -101,6 +116,9 @@
     //! while its backend server keeps running.
     void set_drain_report_lifetime(base::duration_ms lifetime);
 
+    //! Places calls by their expected cost. Off without this call.
+    void set_placement_by_cost(bool enabled);
+
     //! Applies an instance list. A target that reported that it is draining
     //! stays draining, unless its address changed.
     void apply(const schema::instance_list& list, base::time_ms now);
@@ -121,8 +139,9 @@
     bool has_spare_target(
         const std::set<std::string>& excluded, base::time_ms now) const;
 
-    //! Records that a call was sent to a target.
-    void on_dispatch(const std::string& instance, base::time_ms now);
+    //! Records that a call of this kind was sent to a target.
+    void on_dispatch(
+        const std::string& instance, base::time_ms now, std::uint64_t kind = 0);
     //! Records the outcome of a call that was sent to a target.
     void on_result(
         const std::string& instance, const dispatch_result& result,
@@ -216,6 +235,18 @@
         //! The target joined after the first list and gets a growing share.
         bool needs_warmup{false};
         bool node_disconnected{false};
+        server_slowness slowness;
+        //! Work left as reported, in ms; nothing if the last report lacks it.
+        std::optional<double> reported_work_ms;
+        //! Calls of this node sent since the last report, less those answered,
+        //! and their expected work in ms.
+        std::int64_t sent_calls{0};
+        double sent_work_ms{0};
+        //! Moving average of the calls at the target for each one of this node.
+        double load_ratio{1};
+        //! Moving average of the time that answered calls have waited, in ms.
+        double waited_ms{0};
+        base::time_ms waited_at{INT64_MIN / 2};
     };
 
     //! A target that stated that it is leaving.
@@ -236,6 +267,8 @@
     //! Expected cost of one more call: load times latency, higher for a target
     //! that warms up. Lower is better.
     double cost(const target& candidate, base::time_ms now) const;
+    //! Share (0 to 1) of its full load that a target gets while it warms up.
+    static double warmup_share(const target& candidate, base::time_ms now);
     //! Time for which calls in flight have waited without any answer, in ms.
     static double unanswered_ms(const target& candidate, base::time_ms now);
     //! Latency that a call is expected to have, in ms, with the latency
@@ -284,6 +317,31 @@
     target* better_of_two(
         std::vector<target*>& pool, std::mt19937_64& random,
         base::time_ms now) const;
+    //! The best of a few random targets by placement_score(); null if one of
+    //! them has no recent report.
+    target* best_by_cost(
+        std::vector<target*>& pool, const call_profile& profile,
+        std::mt19937_64& random, base::time_ms now) const;
+    //! How much a call burdens a target and its caller: the share of the slots
+    //! in use, and a penalty for a late answer. Lower is better.
+    double placement_score(
+        const target& candidate, const call_profile& profile,
+        base::time_ms now) const;
+    //! Time in ms after which the call is expected to be answered, with the
+    //! latency objective added for the share of calls that the target fails.
+    double completion_ms(
+        const target& candidate, const call_profile& profile,
+        base::time_ms now) const;
+    //! Time in ms that a call is expected to wait for a slot.
+    double expected_wait_ms(const target& candidate, base::time_ms now) const;
+    //! Running and waiting calls of all callers by now, estimated from the
+    //! report and from what this node has sent since.
+    static double calls_at(const target& candidate);
+    static bool has_work_report(
+        const target& candidate, base::duration_ms max_age, base::time_ms now);
+    //! Records what an answer says about costs.
+    void update_costs(
+        target& candidate, const dispatch_result& result, base::time_ms now);
     //! Ejects a target that is slow or failing, or ends its ejection.
     void update_ejection(target& candidate, base::time_ms now);
     double median_latency(const target& except) const;
@@ -299,6 +357,8 @@
     std::size_t round_robin_index{0};
     std::optional<base::duration_ms> drain_report_lifetime;
     bool list_known{false};
+    bool placed_by_cost{false};
+    call_cost costs;
     //! Ids of the targets that calls are balanced over.
     std::vector<std::string> subset;
     std::unordered_map<std::string, target> targets;
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -85,6 +85,10 @@
     std::uint32_t floor{0};
     //! The target is draining and refuses new calls.
     bool draining{false};
+    //! 1 more than the time in ms that the backend server is expected to need
+    //! for the calls it has, at its own speed and spread over its slots; 0 if
+    //! unknown.
+    std::uint32_t work_left_ms{0};
 
     bool operator==(const load_report&) const = default;
 
@@ -93,7 +97,8 @@
     {
         archive(
             this->valid, this->queue_delay_ms, this->input_delay_ms,
-            this->in_flight, this->limit, this->floor, this->draining);
+            this->in_flight, this->limit, this->floor, this->draining,
+            this->work_left_ms);
     }
 };
 //! First message in each direction of a connection between nodes.
@@ -184,6 +189,9 @@
     std::string trace_parent{};
     //! W3C Trace Context header tracestate of the caller.
     std::string trace_state{};
+    //! Kind of calls whose costs are learned together, as the caller's node
+    //! determined it; 0 if it does not place calls by cost.
+    std::uint64_t cost_kind{0};
 
     bool operator==(const call&) const = default;
 
@@ -197,7 +205,7 @@
             this->repeatable, this->long_work, this->key, this->send_number,
             this->expected_instance, this->directory_revision, this->workspace,
             this->key_id, this->configuration_version, this->struck_by,
-            this->trace_parent, this->trace_state);
+            this->trace_parent, this->trace_state, this->cost_kind);
     }
 };
 //! The outcome of a call.
@@ -229,6 +237,9 @@
     bool struck{false};
     //! Load report of the answering target.
     load_report load{};
+    //! 1 more than the service time at the backend server, ms; 0 if the call
+    //! was not served or its cost is not learned.
+    std::uint32_t service_ms{0};
 
     bool operator==(const answer&) const = default;
 
@@ -238,7 +249,7 @@
         archive(
             this->id, this->digest, this->verdict, this->reason, this->status,
             this->headers, this->body, this->unspent, this->descendants,
-            this->failed_below, this->struck, this->load);
+            this->failed_below, this->struck, this->load, this->service_ms);
     }
 };
 //! Cancels a call whose caller is gone; the call is stopped if possible.
--- a/src/schema/settings.cpp
+++ b/src/schema/settings.cpp
@@ -128,6 +128,9 @@
         "admin", "reader_token", {true, 8, 256}, value.admin.reader_token));
     BOOST_LEAF_CHECK(fields.take(
         "admin", "operator_token", {true, 8, 256}, value.admin.operator_token));
+    BOOST_LEAF_CHECK(fields.take(
+        "placement", "by_cost", {false, 0, internal::no_maximum},
+        value.placement.by_cost));
     BOOST_LEAF_CHECK(fields.take(
         "policy", "variant", {false, 0, internal::no_maximum},
         value.policy.variant));
--- a/src/schema/settings.hpp
+++ b/src/schema/settings.hpp
@@ -155,6 +155,15 @@
 
         bool operator==(const admin_section&) const = default;
     };
+    //! Settings of section [placement].
+    struct placement_section
+    {
+        //! Place calls by their expected cost and by the work that each target
+        //! still has.
+        bool by_cost{false};
+
+        bool operator==(const placement_section&) const = default;
+    };
     //! Settings of section [policy].
     struct policy_section
     {
@@ -182,6 +191,7 @@
     platform_section platform;
     fleet_section fleet;
     admin_section admin;
+    placement_section placement;
     policy_section policy;
     log_section log;
 
