Nodes: placement by cost behind [placement] by_cost

The target's node reports the work that its backend server has left and tells the service time with the answer; the caller's node places by it.

--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -91,7 +91,7 @@
             }
             const decisions::call_profile profile{
                 table.reroute_delays[latency_group(call)].mean_latency_ms(),
-                call.latency_objective, shed_class};
+                call.latency_objective, shed_class, call.message.cost_kind};
             target = targets.choose(call.tried, table.random, now, profile);
             // Where no untried target is left and an earlier attempt may have
             // run, a target that was tried before is better than none.
@@ -103,7 +103,8 @@
             }
             if (target)
             {
-                targets.on_dispatch(target->instance, now);
+                targets.on_dispatch(
+                    target->instance, now, call.message.cost_kind);
             }
         });
     return target;
@@ -124,6 +125,10 @@
             }
             auto& call = found->second;
             const auto now = base::now();
+            if (this->tables.settings.placement.by_cost)
+            {
+                call.message.cost_kind = cost_kind(call);
+            }
             if (call.deadline <= now)
             {
                 reason = refusal::deadline;
@@ -335,11 +340,18 @@
             // failure.
             const bool backend_failed =
                 routed && failed_at_backend(outcome.answer);
-            targets.on_result(
-                state.target,
-                {outcome.answered && !down, outcome.abandoned, refused, latency,
-                 outcome.answer.load, backend_failed},
-                now);
+            decisions::dispatch_result result{
+                outcome.answered && !down, outcome.abandoned, refused, latency,
+                outcome.answer.load,       backend_failed};
+            result.kind = call.message.cost_kind;
+            result.elapsed = now - state.dispatched;
+            if (outcome.answer.service_ms > 0)
+            {
+                // The field holds 1 more, since 0 says that it is unknown.
+                result.service_time =
+                    base::duration_ms{outcome.answer.service_ms - 1};
+            }
+            targets.on_result(state.target, result, now);
         });
 }
 
--- a/src/node/internal/directory_follower_apply.cpp
+++ b/src/node/internal/directory_follower_apply.cpp
@@ -154,6 +154,8 @@
                                             this->tables.variant)
                                         .first->second;
             service_targets.set_drain_report_lifetime(drain_report_lifetime);
+            service_targets.set_placement_by_cost(
+                this->tables.settings.placement.by_cost);
             service_targets.apply(list, now);
         });
     this->tables.record_event({0, "targets", 0, 0, service, "list=" + names});
--- a/src/node/internal/document_gossip.cpp
+++ b/src/node/internal/document_gossip.cpp
@@ -142,10 +142,14 @@
         this->tables.routing.with(
             [&](routing_table& table)
             {
-                table.services
-                    .try_emplace(
-                        name, local.instance, local.zone, this->tables.variant)
-                    .first->second.apply(list, now);
+                auto& targets = table.services
+                                    .try_emplace(
+                                        name, local.instance, local.zone,
+                                        this->tables.variant)
+                                    .first->second;
+                targets.set_placement_by_cost(
+                    this->tables.settings.placement.by_cost);
+                targets.apply(list, now);
             });
     }
 }
--- a/src/node/internal/outbound_call.cpp
+++ b/src/node/internal/outbound_call.cpp
@@ -1,5 +1,7 @@
 #include "node/internal/outbound_call.hpp"
 
+#include "base/hash.hpp"
+
 namespace bilberrytally::node
 {
 namespace
@@ -119,6 +121,19 @@
                                       : call.latency_group;
 }
 
+std::uint64_t cost_kind(const outbound_call& call)
+{
+    const auto size = call.message.body.size();
+    if (!call.latency_group.empty())
+    {
+        return decisions::call_kind(call.latency_group, size);
+    }
+    const std::string_view path(call.message.path);
+    return base::combine(
+        base::hash(call.message.method),
+        decisions::call_kind(path.substr(0, path.find('?')), size));
+}
+
 base::verdict verdict_of(const schema::answer& answer)
 {
     return static_cast<base::verdict>(answer.verdict);
--- a/src/node/internal/outbound_call.hpp
+++ b/src/node/internal/outbound_call.hpp
@@ -156,6 +156,10 @@
 //! routed mode, else the whole service.
 const std::string& latency_group(const outbound_call& call);
 
+//! Kind of calls whose costs are learned together: of one latency group in
+//! routed mode, else of one method and path, with requests of similar sizes.
+std::uint64_t cost_kind(const outbound_call& call);
+
 //! Verdict of an answer, from its numeric form.
 base::verdict verdict_of(const schema::answer& answer);
 
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -219,6 +219,12 @@
                 return;
             }
             const auto& message = call.message;
+            // Callers that do not place by cost state no kind; all their calls
+            // then count as one kind.
+            if (this->tables.settings.placement.by_cost)
+            {
+                call.work = table.outstanding.on_wait(message.cost_kind);
+            }
             actions = table.admission.offer(
                 // The root id is hashed with a constant as the second part.
                 {id, this->tables.shed_class(message), message.depth,
@@ -258,6 +264,8 @@
     }
     removed_call removed{std::move(found->second), {}};
     table.calls.erase(found);
+    table.outstanding.on_wait_end(removed.call.work);
+    table.outstanding.on_end(id);
     table.by_caller_call_id.erase({removed.call.link, removed.call.message.id});
     if (this->tables.platform_headers)
     {
@@ -318,27 +326,20 @@
     answer.digest = call.message.digest;
     answer.unspent = call.budget.left();
     answer.descendants = call.nested_dispatches;
+    const auto now = base::now();
     if (call.reply)
     {
+        if (this->tables.settings.placement.by_cost)
+        {
+            answer.load =
+                this->inbound.with([&](inbound_table& table)
+                                   { return this->report(table, call, now); });
+        }
         call.reply(std::move(answer));
         return;
     }
-    const auto now = base::now();
-    this->inbound.with(
-        [&](inbound_table& table)
-        {
-            auto& last_report = table.last_load_report[call.link];
-            if (now - last_report < load_report_interval &&
-                !this->tables.draining)
-            {
-                return;
-            }
-            last_report = now;
-            answer.load = table.admission.report(now);
-            answer.load.input_delay_ms = static_cast<std::uint32_t>(
-                this->tables.event_loop.frame_delay_ms());
-            answer.load.draining = this->is_draining(call.message);
-        });
+    this->inbound.with([&](inbound_table& table)
+                       { answer.load = this->report(table, call, now); });
     const bool has_room =
         answer.body.size() <= small_body_bytes ||
         this->network->unwritten_bytes() + answer.body.size() <=
@@ -355,6 +356,27 @@
         call.link, transport::frame_kind::answer, transport::encode(answer), 0);
 }
 
+schema::load_report target_side::report(
+    inbound_table& table, const inbound_call& call, base::time_ms now) const
+{
+    auto& last_report = table.last_load_report[call.link];
+    if (now - last_report < load_report_interval && !this->tables.draining)
+    {
+        return {};
+    }
+    last_report = now;
+    auto load = table.admission.report(now);
+    load.input_delay_ms =
+        static_cast<std::uint32_t>(this->tables.event_loop.frame_delay_ms());
+    load.draining = this->is_draining(call.message);
+    if (this->tables.settings.placement.by_cost)
+    {
+        load.work_left_ms = 1 + static_cast<std::uint32_t>(
+                                    table.outstanding.left_ms(load.limit, now));
+    }
+    return load;
+}
+
 void target_side::on_cancel(
     transport::link_id link, std::uint64_t caller_call_id)
 {
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -3,6 +3,7 @@
 #include "base/guarded.hpp"
 #include "base/verdict.hpp"
 #include "decisions/admission.hpp"
+#include "decisions/call_cost.hpp"
 #include "decisions/quarantine.hpp"
 #include "decisions/retry_budget.hpp"
 #include "decisions/unconfirmed_runs.hpp"
@@ -152,6 +153,8 @@
         //! A nested call that the backend server made for this call has failed.
         bool nested_call_failed{false};
         std::uint64_t transfer_id{0};
+        //! The call in \c outstanding, if calls are placed by cost.
+        decisions::call_work work;
     };
 
     struct inbound_table
@@ -166,12 +169,14 @@
         //! header.
         std::unordered_map<std::string, std::uint64_t> by_request;
         std::deque<std::uint64_t> probe_run_queue;
-        //! When a load report was sent last, by link.
+        //! When a load report was sent last, by link; 0 for this node's calls.
         std::map<transport::link_id, base::time_ms> last_load_report;
         //! Status with which the backend server sheds; 0 for none.
         std::uint32_t shed_status{0};
         std::uint64_t crash_count{0};
         decisions::unconfirmed_runs unconfirmed;
+        //! Empty unless calls are placed by cost.
+        decisions::outstanding_work outstanding;
 
         inbound_table(
             std::uint32_t slots, const decisions::policy_variant& variant)
@@ -195,6 +200,11 @@
         inbound_table& table, std::uint64_t id, const inbound_call& call);
     std::uint64_t add(inbound_call call);
     std::string request_id(const schema::call& call) const;
+    //! Load report for an answer to this call; not valid if the last one on its
+    //! link is recent.
+    schema::load_report report(
+        inbound_table& table, const inbound_call& call,
+        base::time_ms now) const;
     void admit(std::uint64_t id);
     //! Instance id of the local backend server: as it is listed, or as the
     //! settings name it while it is not listed.
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -156,6 +156,10 @@
             }
             call.state = call_state::running;
             call.started = now;
+            if (this->tables.settings.placement.by_cost)
+            {
+                table.outstanding.on_start(id, call.work, now);
+            }
             transfer = this->make_transfer(id, call, now);
             transfer->may_send = [this, id] { return this->may_send(id); };
         });
@@ -364,6 +368,14 @@
             if (result)
             {
                 actions = table.admission.finish(id, kind, service_time, now);
+                if (this->tables.settings.placement.by_cost &&
+                    kind == decisions::completion::served)
+                {
+                    const auto& work = result->call.work;
+                    table.outstanding.on_served(work.kind, service_time);
+                    answer.service_ms =
+                        1 + static_cast<std::uint32_t>(service_time.count);
+                }
             }
             return result;
         });
