Bound the memory and connections that clients make a node hold

Cause: only requests over 64 KB were bounded; RESTinio records each chunk and keeps trailers; short header fields take a multiple of their bytes; the acceptor stops once descriptors have run out.

Change: one account over all HTTP servers of a process. The parser's callbacks count what heads, bodies and growth take in memory; chunks and trailers are not kept. Over a quarter of memory_mb, or half of max_descriptors, connections with the least progress for their bytes are closed; complete requests without room get 503 (not run). head_timeout_ms bounds unfinished heads.

--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -35,6 +35,42 @@
     std::uint64_t max_unanswered_bytes{0};
 };
 
+//! What the clients of all servers of an io_context may make the process hold;
+//! 0 turns a limit off.
+struct connection_limits
+{
+    //! Bytes of connections, their unfinished and unanswered requests and their
+    //! unwritten responses. A single larger request is still served.
+    std::uint64_t max_held_bytes{0};
+    std::uint64_t max_connections{0};
+    //! Limit for reading the head of a request, from its first byte on.
+    base::duration_ms head_timeout;
+    //! Limit for reading a request, from its first byte on.
+    base::duration_ms request_timeout;
+};
+
+//! What the clients of all servers of an io_context make the process hold.
+struct connection_usage
+{
+    std::uint64_t held_bytes{0};
+    std::uint64_t connections{0};
+    //! Connections closed because of a limit, since the start.
+    std::uint64_t closed{0};
+    //! Complete requests refused because of a limit, since the start.
+    std::uint64_t refused{0};
+    //! True if a limit closed or refused something in the last seconds.
+    bool limiting{false};
+};
+
+//! Limits the connections of all servers of \p context. When a limit is
+//! exceeded, those with the least progress for their bytes are closed.
+void limit_connections(
+    asio::io_context& context, const connection_limits& limits);
+
+//! Closes connections whose unfinished request has exceeded its time; to be
+//! called at intervals. Returns the usage.
+connection_usage check_connections(asio::io_context& context);
+
 //! Sends the response to a request.
 using respond = std::function<void(response)>;
 
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http/http_server.hpp"
 
+#include "http/internal/counting_parser.hpp"
 #include "http/internal/gated_socket.hpp"
 #include "http/internal/pipeline_table.hpp"
 
@@ -30,6 +31,13 @@
 //! that a caller has gone while it reads.
 constexpr std::size_t pipelined_requests = 8;
 constexpr std::size_t concurrent_accepts = 4;
+//! Memory of a response beside its body.
+constexpr std::uint64_t response_bytes = 1U << 10U;
+//! Memory of a request in progress beside its head and body.
+constexpr std::uint64_t request_bytes = 2U << 10U;
+//! A request is held as received, and as encoded for another node.
+constexpr std::uint64_t request_copies = 2;
+constexpr std::uint32_t unavailable_status = 503;
 
 using shared_pipelines = std::shared_ptr<pipeline_table>;
 
@@ -68,6 +76,7 @@
         restinio::request_handle_t)>;
     using connection_state_listener_t = closed_listener;
     using stream_socket_t = gated_socket;
+    using http_methods_mapper_t = counted_http_methods;
 };
 
 using restinio_server = restinio::http_server_t<server_traits>;
@@ -115,13 +124,16 @@
 };
 
 using unwritten_ptr = std::shared_ptr<unwritten_responses>;
+using charge_ptr = std::unique_ptr<connection_account::charge>;
 
 //! Counts a response until it is written or dropped.
 class unwritten_guard
 {
 public:
-    unwritten_guard(unwritten_ptr unwritten, std::uint64_t body_bytes)
-        : unwritten(std::move(unwritten)), body_bytes(body_bytes)
+    unwritten_guard(
+        unwritten_ptr unwritten, std::uint64_t body_bytes, charge_ptr held)
+        : unwritten(std::move(unwritten)), body_bytes(body_bytes),
+          held(std::move(held))
     {
         ++this->unwritten->count;
         this->unwritten->bytes += body_bytes;
@@ -139,6 +151,7 @@
 private:
     unwritten_ptr unwritten;
     std::uint64_t body_bytes;
+    charge_ptr held;
 };
 
 using response_builder =
@@ -146,7 +159,7 @@
 
 void send_response(
     response_builder& builder, response outgoing,
-    const unwritten_ptr& unwritten)
+    const unwritten_ptr& unwritten, connection_account::entry& connection)
 {
     const restinio::http_status_code_t code{
         static_cast<std::uint16_t>(outgoing.status)};
@@ -159,14 +172,16 @@
     {
         builder.connection_close();
     }
-    auto guard =
-        std::make_shared<unwritten_guard>(unwritten, outgoing.body.size());
+    auto guard = std::make_shared<unwritten_guard>(
+        unwritten, outgoing.body.size(),
+        connection.add_response(outgoing.body.size() + response_bytes));
     builder.set_body(std::move(outgoing.body));
     builder.done([guard = std::move(guard)](const std::error_code&) {});
 }
 
-//! A response that refuses a request as too large and closes the connection.
-response too_large_response(std::uint32_t status, const char* title)
+//! A response that refuses a request because of a limit and closes the
+//! connection.
+response refusal_response(std::uint32_t status, const char* title)
 {
     response outgoing;
     outgoing.status = status;
@@ -188,6 +203,20 @@
         hard_limit_minimum);
 }
 
+//! The account's entry of the connection whose request is handled.
+connection_account::entry_ptr entry_of_request(connection_account& account)
+{
+    if (auto* current = connection_scope::current())
+    {
+        return current->shared_from_this();
+    }
+    // RESTinio handles a request that follows one to upgrade the connection
+    // outside of reads and writes; its charges get an entry of their own.
+    auto entry = account.open(nullptr, base::now());
+    entry->release();
+    return entry;
+}
+
 class restinio_http_server : public http_server
 {
 public:
@@ -202,7 +231,8 @@
               {
                   this->configure(
                       settings, server_options, on_request,
-                      std::move(on_closed));
+                      std::move(on_closed),
+                      asio::use_service<account_service>(context).account);
               })
     {
     }
@@ -241,7 +271,8 @@
     template <class Settings>
     void configure(
         Settings& settings, const server_settings& server_options,
-        const request_handler& on_request, closed_handler on_closed) const
+        const request_handler& on_request, closed_handler on_closed,
+        connection_account& account) const
     {
         const std::chrono::milliseconds read_limit(
             server_options.read_timeout.count);
@@ -273,12 +304,12 @@
                     .max_body_size(hard_limit(server_options.max_body_bytes)))
             .request_handler(
                 [server_options, on_request, unwritten = this->unwritten,
-                 pipelines =
-                     this->pipelines](restinio::request_handle_t incoming)
+                 pipelines = this->pipelines,
+                 &account](restinio::request_handle_t incoming)
                 {
                     handle(
                         server_options, on_request, std::move(incoming),
-                        unwritten, pipelines);
+                        unwritten, pipelines, account);
                     return restinio::request_accepted();
                 });
     }
@@ -286,39 +317,57 @@
     static void handle(
         const server_settings& server_options,
         const request_handler& on_request, restinio::request_handle_t incoming,
-        const unwritten_ptr& unwritten, const shared_pipelines& pipelines)
+        const unwritten_ptr& unwritten, const shared_pipelines& pipelines,
+        connection_account& account)
     {
         const auto connection = incoming->connection_id();
         const auto number = pipelines->add(connection);
+        const auto entry = entry_of_request(account);
         // Made now, since the request with its body is not kept until the
         // response. Shared, since std::function needs a copyable object.
         auto builder =
             std::make_shared<response_builder>(incoming->create_response());
         auto received = to_request(*incoming);
         incoming.reset();
-        if (header_bytes(received) > server_options.max_header_bytes)
+        const auto head_size = header_bytes(received);
+        // Shared for the same reason.
+        std::shared_ptr<connection_account::charge> held =
+            entry->complete_request(
+                request_bytes +
+                    request_copies * (head_size + received.body.size()),
+                base::now());
+        if (head_size > server_options.max_header_bytes)
         {
             send_response(
-                *builder, too_large_response(431, "request headers too large"),
-                unwritten);
+                *builder, refusal_response(431, "request headers too large"),
+                unwritten, *entry);
             return;
         }
         if (received.body.size() > server_options.max_body_bytes)
         {
             send_response(
-                *builder, too_large_response(413, "request body too large"),
-                unwritten);
+                *builder, refusal_response(413, "request body too large"),
+                unwritten, *entry);
+            return;
+        }
+        if (!held)
+        {
+            auto refusal =
+                refusal_response(unavailable_status, "too many requests held");
+            refusal.headers.push_back({"Retry-After", "1"});
+            send_response(*builder, std::move(refusal), unwritten, *entry);
             return;
         }
         on_request(
             connection, std::move(received),
-            [builder, unwritten, pipelines, connection,
-             number](response outgoing)
+            [builder, unwritten, pipelines, connection, number, entry,
+             held = std::move(held)](response outgoing) mutable
             {
                 // A response that closes the connection would discard those to
                 // the requests behind it.
                 outgoing.close &= pipelines->is_newest(connection, number);
-                send_response(*builder, std::move(outgoing), unwritten);
+                send_response(*builder, std::move(outgoing), unwritten, *entry);
+                held.reset();
             });
     }
 
@@ -328,6 +377,19 @@
 };
 } // namespace
 
+void limit_connections(
+    asio::io_context& context, const connection_limits& limits)
+{
+    asio::use_service<account_service>(context).account.set_limits(limits);
+}
+
+connection_usage check_connections(asio::io_context& context)
+{
+    auto& account = asio::use_service<account_service>(context).account;
+    account.check(base::now());
+    return account.usage();
+}
+
 base::result<std::unique_ptr<http_server>> http_server::open(
     asio::io_context& context, const server_settings& settings,
     request_handler on_request, closed_handler on_closed)
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -20,6 +20,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <cmath>
 #include <condition_variable>
 #include <csignal>
@@ -43,6 +44,33 @@
 constexpr std::uint64_t admin_max_body_bytes = 1U << 20U;
 constexpr std::uint64_t max_header_bytes = 16U << 10U;
 constexpr base::duration_ms admin_read_timeout{15000};
+constexpr std::uint64_t bytes_per_mb = 1U << 20U;
+//! Part of the machine's memory that callers may use up: a quarter. The rest is
+//! for the node itself, one request of the largest size and its encoded copy,
+//! traffic between nodes and responses of the backend server.
+constexpr std::uint64_t caller_memory_divisor = 4;
+//! Half of the descriptors is for callers' connections; the rest is for files,
+//! the backend server, the metadata store and other nodes.
+constexpr std::uint64_t caller_descriptors_divisor = 2;
+constexpr base::duration_ms connection_check_interval{250};
+//! Part of the machine's memory for each of the pools of responses that
+//! caller.max_held_bytes bounds: a fifth, or the largest response.
+constexpr std::uint64_t response_memory_divisor = 5;
+
+//! Lowers caller.max_held_bytes to what the machine's memory allows.
+schema::node_settings fit_memory(schema::node_settings settings)
+{
+    auto& caller = settings.caller;
+    if (caller.memory_mb > 0)
+    {
+        const auto share = std::max<std::uint64_t>(
+            caller.memory_mb * bytes_per_mb / response_memory_divisor,
+            caller.max_answer_bytes);
+        caller.max_held_bytes = static_cast<std::uint32_t>(
+            std::min<std::uint64_t>(caller.max_held_bytes, share));
+    }
+    return settings;
+}
 
 class running_node : public node
 {
@@ -52,8 +80,9 @@
         platform_adapter adapter)
         : adapter(std::move(adapter)), reloaded_settings(settings, file),
           work_guard(asio::make_work_guard(this->context)),
-          tables(this->context, settings, base::random_bits()),
-          inbound_calls(this->tables, make_client(this->context, settings)),
+          tables(this->context, fit_memory(settings), base::random_bits()),
+          inbound_calls(
+              this->tables, make_client(this->context, this->tables.settings)),
           outbound_calls(this->tables, this->inbound_calls),
           signals(this->context), timer(this->context)
     {
@@ -79,6 +108,7 @@
         {
             this->tables.platform_headers = this->adapter.headers;
         }
+        http::limit_connections(this->context, connection_limits(settings));
         this->start_workers();
         BOOST_LEAF_CHECK(this->open_network());
         BOOST_LEAF_CHECK(this->open_gossip());
@@ -119,6 +149,23 @@
     }
 
 private:
+    static http::connection_limits
+    connection_limits(const schema::node_settings& settings)
+    {
+        const auto& caller = settings.caller;
+        http::connection_limits limits;
+        if (caller.memory_mb > 0)
+        {
+            limits.max_held_bytes =
+                caller.memory_mb * bytes_per_mb / caller_memory_divisor;
+            limits.request_timeout = {caller.read_timeout_ms};
+        }
+        limits.max_connections =
+            caller.max_descriptors / caller_descriptors_divisor;
+        limits.head_timeout = {caller.head_timeout_ms};
+        return limits;
+    }
+
     static std::unique_ptr<http::http_client> make_client(
         asio::io_context& context, const schema::node_settings& settings)
     {
@@ -378,6 +425,11 @@
             }
         }
         this->check_event_loop(now);
+        if (now - this->last_connection_check >= connection_check_interval)
+        {
+            this->last_connection_check = now;
+            this->check_connections();
+        }
         const auto suspended = this->tables.suspensions.on_tick(now);
         if (suspended.count > 0)
         {
@@ -456,6 +508,33 @@
                      << " calls_as_target=" << this->inbound_calls.call_count();
     }
 
+    void check_connections()
+    {
+        const auto usage = http::check_connections(this->context);
+        auto& metrics = this->tables.node_metrics;
+        metrics.set_gauge(
+            "client_held_bytes", static_cast<double>(usage.held_bytes));
+        metrics.set_gauge(
+            "client_connections", static_cast<double>(usage.connections));
+        metrics.on_event(
+            "client_closed",
+            static_cast<double>(usage.closed - this->last_usage.closed));
+        metrics.on_event(
+            "client_request_refused",
+            static_cast<double>(usage.refused - this->last_usage.refused));
+        if (usage.limiting != this->last_usage.limiting)
+        {
+            // A warning, as informational lines are left out under load.
+            LOG(WARNING) << (usage.limiting ? "event=clients_limited"
+                                            : "event=clients_unlimited")
+                         << " held_bytes=" << usage.held_bytes
+                         << " connections=" << usage.connections
+                         << " closed=" << usage.closed
+                         << " refused=" << usage.refused;
+        }
+        this->last_usage = usage;
+    }
+
     void check_drained(base::time_ms now)
     {
         const bool idle = this->outbound_calls.call_count() == 0 &&
@@ -529,6 +608,8 @@
     std::atomic<bool> stopping{false};
     //! Set before \c stopping, by the thread that handles the signal.
     std::optional<decisions::drain_schedule> stop_schedule;
+    base::time_ms last_connection_check;
+    http::connection_usage last_usage;
     base::time_ms last_liveness_check;
     base::time_ms last_reconnect;
     std::vector<std::thread> workers;
--- a/src/schema/settings.cpp
+++ b/src/schema/settings.cpp
@@ -76,6 +76,14 @@
     BOOST_LEAF_CHECK(fields.take(
         "caller", "max_held_bytes", {false, 1048576, 2147483647},
         value.caller.max_held_bytes));
+    BOOST_LEAF_CHECK(fields.take(
+        "caller", "memory_mb", {false, 0, 1048576}, value.caller.memory_mb));
+    BOOST_LEAF_CHECK(fields.take(
+        "caller", "max_descriptors", {false, 0, 10000000},
+        value.caller.max_descriptors));
+    BOOST_LEAF_CHECK(fields.take(
+        "caller", "head_timeout_ms", {false, 0, 600000},
+        value.caller.head_timeout_ms));
     BOOST_LEAF_CHECK(fields.take(
         "platform", "url", {false, 0, internal::no_maximum},
         value.platform.url));
--- a/src/schema/settings.hpp
+++ b/src/schema/settings.hpp
@@ -86,6 +86,15 @@
         //! unfinished ones of the backend server, those sent to other nodes,
         //! and those that callers have not read, each, bytes.
         std::uint32_t max_held_bytes{67108864};
+        //! Memory of the machine, from which the bytes that callers may make
+        //! the node hold are derived, MB; 0 for no limit.
+        std::uint32_t memory_mb{0};
+        //! Descriptors that the process may open, from which the number of
+        //! callers' connections is derived; 0 for no limit.
+        std::uint32_t max_descriptors{0};
+        //! Time-out for receiving the head of a request, from its first byte
+        //! on, ms; 0 for read_timeout_ms.
+        std::uint32_t head_timeout_ms{0};
 
         bool operator==(const caller_section&) const = default;
     };
