Call cost: learn the typical work without the first call's bias

An expensive first call raised the typical work of its kind, so the target looked fast and its calls looked 18 % more expensive for thousands of calls (call_cost_test, 306 ms for a mean of 260 ms). Typical work is now a moving average with limited changes, as the slowness is, and counts from 30 calls on.

--- a/src/decisions/call_cost.hpp
+++ b/src/decisions/call_cost.hpp
@@ -70,13 +70,16 @@
         work_distribution();
         void add(double work_ms);
         double mean() const;
+        //! Typical work in ms, which single expensive calls change little.
         double typical() const;
 
         histogram buckets;
         std::uint32_t samples{0};
         double weight{0};
         double sum{0};
-        double log_sum{0};
+        //! Logarithm of typical work: a moving average that outliers move as
+        //! little as they move server_slowness, or the two would drift apart.
+        double log_typical{0};
         std::uint64_t last_used{0};
     };
 
--- a/src/decisions/internal/call_cost.cpp
+++ b/src/decisions/internal/call_cost.cpp
@@ -19,10 +19,15 @@
 constexpr std::uint32_t decay_interval = 512;
 //! Samples of a kind before its distribution is used.
 constexpr std::uint32_t min_samples = 10;
+//! Samples of a kind before targets are compared by it. With fewer, the typical
+//! work may still be that of an expensive first call.
+constexpr std::uint32_t min_typical_samples = 30;
 //! Bound of the number of kinds; the one used least recently is dropped.
 constexpr std::size_t max_kinds = 256;
 //! Weight of a new sample in the moving average of the slowness.
 constexpr double slowness_weight = 0.1;
+//! Weight of a new sample in the moving average of the typical work.
+constexpr double typical_weight = 0.02;
 //! Share by which the average returns to 1 with each sample. The work of calls
 //! and the slowness of targets are only known up to a common factor, which
 //! would drift without it.
@@ -36,6 +41,11 @@
 constexpr int smallest_size_bits = 10;
 //! Powers of two that are one order of magnitude of a request's size.
 constexpr int bits_per_size_class = 3;
+
+double limited_change(double sample, double average)
+{
+    return std::clamp(sample - average, -max_log_change, max_log_change);
+}
 } // namespace
 
 std::uint64_t call_kind(std::string_view group, std::uint64_t request_bytes)
@@ -55,9 +65,8 @@
 
 void server_slowness::on_ratio(double ratio)
 {
-    const double change = std::clamp(
-        std::log(ratio) - this->log_factor, -max_log_change, max_log_change);
-    this->log_factor += slowness_weight * change;
+    this->log_factor +=
+        slowness_weight * limited_change(std::log(ratio), this->log_factor);
     this->log_factor *= 1 - slowness_decay;
     this->current_factor = std::exp(this->log_factor);
 }
@@ -75,14 +84,20 @@
     ++this->samples;
     this->weight += 1;
     this->sum += work_ms;
-    this->log_sum += std::log(work_ms);
+    if (this->samples == 1)
+    {
+        this->log_typical = std::log(work_ms);
+    }
+    const double weight = std::max(
+        typical_weight, std::min(1.0, 2 / static_cast<double>(this->samples)));
+    this->log_typical +=
+        weight * limited_change(std::log(work_ms), this->log_typical);
     if (this->samples % decay_interval == 0)
     {
         constexpr double half = 0.5;
         this->buckets *= half;
         this->weight *= half;
         this->sum *= half;
-        this->log_sum *= half;
     }
 }
 
@@ -93,7 +108,7 @@
 
 double call_cost::work_distribution::typical() const
 {
-    return this->weight > 0 ? std::exp(this->log_sum / this->weight) : 0;
+    return std::exp(this->log_typical);
 }
 
 call_cost::call_cost() = default;
@@ -164,7 +179,7 @@
         std::max(static_cast<double>(service_time.count), min_ms);
     auto& known = this->distribution_to_update(kind);
     known.last_used = ++this->served;
-    const bool comparable = known.samples >= min_samples;
+    const bool comparable = known.samples >= min_typical_samples;
     const double work = std::max(service / slowness.factor(), min_ms);
     if (comparable)
     {
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -71,9 +71,9 @@
     std::uint64_t kind{0};
     //! Time in ms from the dispatch to the answer; unlike \c latency never a
     //! percentage.
-    base::duration_ms elapsed;
+    base::duration_ms elapsed{};
     //! Service time at the backend server; nothing if the target did not tell.
-    std::optional<base::duration_ms> service_time;
+    std::optional<base::duration_ms> service_time{};
 };
 
 //! What the caller's node knows about a call before it chooses a target.
