--- a/src/node/internal/quota_exchange.cpp
+++ b/src/node/internal/quota_exchange.cpp
@@ -89,13 +89,13 @@
         this->uses, [&](const auto& use) { return ids.count(use.first) == 0; });
 }
 
-void quota_exchange::apply_nodes(std::vector<quota_node> nodes)
+void quota_exchange::apply_nodes(const std::vector<quota_node>& nodes)
 {
     this->slots.apply(nodes, base::now());
 }
 
 void quota_exchange::acquire(
-    std::shared_ptr<const directory::workspace> workspace,
+    const std::shared_ptr<const directory::workspace>& workspace,
     decision_handler on_decision)
 {
     const auto id = decisions::quota_id(workspace->name);
--- a/src/node/internal/quota_exchange.hpp
+++ b/src/node/internal/quota_exchange.hpp
@@ -41,12 +41,12 @@
 
     //! Applies a complete list of nodes. Must be called before the proof that
     //! covers the list is reported by the function given at construction.
-    void apply_nodes(std::vector<quota_node> nodes);
+    void apply_nodes(const std::vector<quota_node>& nodes);
 
     //! Decides on a request of a workspace. Calls \p on_decision at once if a
     //! token is at hand, otherwise within 0.3 s.
     void acquire(
-        std::shared_ptr<const directory::workspace> workspace,
+        const std::shared_ptr<const directory::workspace>& workspace,
         decision_handler on_decision);
 
     //! To be called every 10 ms.
