Look up the parent call of a request only where it needs no key

Cause: each request with an access key looked up a parent call that the decision does not use, with a lock and a copy of the id, on the path of every request. Change: the look-up is made only for requests without a key on routes that need one. The decision is the same.

--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -98,14 +98,16 @@
     const auto key = access_key_of(request.headers);
     const auto digest =
         key ? directory::digest_key(*key) : directory::key_digest{};
-    const bool is_nested =
-        this->targets
-            .find_context(http::find_header(
-                request.headers, this->tables.platform_headers->attempt_id))
-            .has_value();
     decisions::access_question question;
     question.has_key = key.has_value();
-    question.key_optional = route.anonymous || is_nested;
+    // Looked up only where it matters, since it takes the lock of the calls.
+    question.key_optional =
+        route.anonymous ||
+        (!key &&
+         this->targets
+             .find_context(http::find_header(
+                 request.headers, this->tables.platform_headers->attempt_id))
+             .has_value());
     question.proof_age = this->tables.view_age(base::now());
     this->tables.access.with(
         [&](access_table& access)
