--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Builds the stand-ins of the cases 6 to 10. They are Python programs of the standard library, so
+# that only their syntax is checked; the node comes from the build of the deploy file.
+set -eu
+cd "$(dirname "$0")"
+for file in parts/*.py [6-9]/*.py 10/*.py; do
+    [ -e "$file" ] || continue
+    python3 -c "import ast, sys; ast.parse(open(sys.argv[1]).read())" "$file"
+done
+test -x ../target/src/apps/bilberrytally-node
