--- a/review/parts/deployment.py
+++ b/review/parts/deployment.py
@@ -179,9 +179,17 @@
         self.ends = []  # (time, id, "done" or "dropped")
         self.drops = True
         self.nested = None  # called with the id of each run, after its work
+        self.connections = set()
         self.listener = Listener(host, port, self.serve)
 
     def serve(self, connection):
+        self.connections.add(connection)
+        try:
+            self.serve_requests(connection)
+        finally:
+            self.connections.discard(connection)
+
+    def serve_requests(self, connection):
         stream = connection.makefile("rb")
         while True:
             first, headers = read_head(stream)
@@ -235,6 +243,23 @@
         connection.sendall(head.encode() + body)
 
 
+def crash_together(targets, down_s):
+    """The targets of a rack, say, end all their connections and do not listen for a time."""
+    for target in targets:
+        target.record.add(f"{target.instance} crashes")
+    for target in targets:
+        target.listener.close()
+    for connection in [c for target in targets for c in list(target.connections)]:
+        try:
+            connection.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+    time.sleep(down_s)
+    for target in targets:
+        target.listener = Listener(target.host, target.port, target.serve)
+        target.record.add(f"{target.instance} is back")
+
+
 def render(template, fields):
     """Fills in a settings template: values and sections, as DEPLOY.md tells them."""
     def section(match):
