--- a/review/7/play.py
+++ b/review/7/play.py
@@ -6,7 +6,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "parts"))
-from deployment import Deployment, call, route, troubled  # noqa: E402
+from deployment import call, route, run_case, troubled  # noqa: E402
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 PAYMENTS, WORK_MS, KEY = 24, 4000, {"Authorization": "Bearer key-1"}
@@ -54,7 +54,5 @@
     return 1 if len(refused) > ALLOWED else 0
 
 
-with Deployment(FOLDER, [("desk", "a"), ("fees", "b"), ("ledger", "c")],
-                {"revoke-s": 5, "strict-revoke": "true"}) as deployment:
-    result = play(deployment)
-sys.exit(result)
+sys.exit(run_case(FOLDER, [("desk", "a"), ("fees", "b"), ("ledger", "c")], play,
+                  {"revoke-s": 5, "strict-revoke": "true"}))
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -6,7 +6,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "parts"))
-from deployment import Deployment, call, read_answer, route, send_request, troubled  # noqa: E402
+from deployment import call, read_answer, route, run_case, send_request, troubled  # noqa: E402
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 UPLOADS, UPLOAD_BYTES, UPLOAD_MS = 6, 4 << 20, 4000
@@ -73,6 +73,4 @@
     return 1 if len(late) > A_FEW else 0
 
 
-with Deployment(FOLDER, [("desk", "a"), ("ledger", "b"), ("vault", "c")]) as deployment:
-    result = play(deployment)
-sys.exit(result)
+sys.exit(run_case(FOLDER, [("desk", "a"), ("ledger", "b"), ("vault", "c")], play))
--- a/review/parts/deployment.py
+++ b/review/parts/deployment.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -169,9 +170,9 @@
 
 
 class Target:
-    """A backend server. `work` gets each request and returns the seconds that it takes; by default
-    that is the query parameter ms. Drops a request whose connection closes, unless `drops` is
-    false."""
+    """A backend server. A request takes the ms of its query parameter, and its answer has as many
+    bytes as the parameter size. Drops a request whose connection closes, unless `drops` is false.
+    """
 
     def __init__(self, record, host, port, instance):
         self.record, self.host, self.port, self.instance = record, host, port, instance
@@ -214,7 +215,8 @@
                 status = self.nested(request, headers)
             self.ends.append((time.monotonic(), request, "done"))
             self.record.add(f"{self.instance} ends {request}: {status}")
-            self.reply(connection, status, request, self.instance.encode())
+            size = int(query.get("size", ["0"])[0])
+            self.reply(connection, status, request, bytes(size) or self.instance.encode())
 
     def work(self, connection, seconds):
         end = time.monotonic() + seconds
@@ -420,5 +422,17 @@
     return status
 
 
+def run_case(folder, placements, play, bounds=None):
+    """Plays a case; returns its exit code: 2 if it could not run. Ends all processes, also when
+    this one is told to stop."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    with Deployment(folder, placements, bounds) as deployment:
+        try:
+            return play(deployment)
+        except Exception as failure:  # a fault of the case must not count as a broken rule
+            deployment.record.add(f"the case could not run: {failure!r}")
+            return 2
+
+
 def troubled():
     return os.environ.get("TROUBLE", "1") != "0"
