--- a/review/7/play.py
+++ b/review/7/play.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "parts"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from deployment import (read_answer, route, run_case, send_request,  # noqa: E402
                         troubled)
 
@@ -93,8 +93,8 @@
     deployment.record.add(f"requests that were passed on and ended without an answer: {len(lost)}; "
                           f"answered: {answered}")
     if answered < CLIENTS:
-        return 2
-    return 1 if lost else 0
+        return None
+    return bool(lost)
 
 
 sys.exit(run_case(FOLDER, [("desk", "a"), ("ledger", "a"), ("desk", "a")], play))
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "parts"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from deployment import call, route, run_case, troubled  # noqa: E402
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -37,7 +37,7 @@
         thread.start()
     time.sleep(1)
     if len(fees.target.runs) < PAYMENTS:
-        return 2
+        return None
     if troubled():
         fees.signal(signal.SIGKILL)
         fees.process.wait()
@@ -51,7 +51,7 @@
         time.sleep(0.05)
     deployment.record.add(f"calls of running requests: {PAYMENTS}; ended with 401, 403 or 404 by "
                           f"the node: {len(refused)}")
-    return 1 if len(refused) > ALLOWED else 0
+    return len(refused) > ALLOWED
 
 
 sys.exit(run_case(FOLDER, [("desk", "a"), ("fees", "b"), ("ledger", "c")], play,
--- a/review/parts/deployment.py
+++ b/review/deployment.py
@@ -1,13 +1,14 @@
 """A small deployment on loopback for the cases 6 to 10: a metadata store, backend servers, and the
 project's nodes, started with the command and the settings template of the deploy file.
 
-Each machine has an address of its own (127.0.9.N); ports are the same on all machines, as
-DEPLOY.md says. The stand-ins speak what PROTOCOL.md says and nothing else.
+Each machine has an address of its own (127.0.X.N, X drawn at each start); ports are the same on all
+machines, as DEPLOY.md says. The stand-ins speak what PROTOCOL.md says and nothing else.
 """
 import base64
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -20,7 +21,7 @@
 import tomllib
 import urllib.parse
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 ID, TIMEOUT = "x-bilberrytally-attempt-id", "x-bilberrytally-timeout-ms"
 EXPECTED = "x-bilberrytally-expected-instance"
 START = time.monotonic()
@@ -273,7 +274,7 @@
 class Machine:
     def __init__(self, deployment, number, service, zone):
         self.deployment, self.service, self.zone = deployment, service, zone
-        self.ip = f"127.0.9.{number + 1}"
+        self.ip = f"127.0.{deployment.network}.{number + 1}"
         self.instance = f"i-{number + 1}"
         self.settings = deployment.folder / f"node-{number + 1}.ini"
         self.log = deployment.folder / f"node-{number + 1}.log"
@@ -333,6 +334,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bilberrytally-case-"))
         self.store = Store()
         self.ports = {name: free_port() for name in ("app", "outbound", "inbound", "ready")}
+        self.network = random.randint(10, 250)
         self.version = 0
         self.machines = [Machine(self, i, *p) for i, p in enumerate(placements)]
 
@@ -422,16 +424,27 @@
     return status
 
 
+HELD, COULD_NOT_RUN, BROKEN = 0, 2, 3
+
+
 def run_case(folder, placements, play, bounds=None):
-    """Plays a case; returns its exit code: 2 if it could not run. Ends all processes, also when
-    this one is told to stop."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    with Deployment(folder, placements, bounds) as deployment:
-        try:
-            return play(deployment)
-        except Exception as failure:  # a fault of the case must not count as a broken rule
-            deployment.record.add(f"the case could not run: {failure!r}")
-            return 2
+    """Plays a case; returns the exit code of its program. `play` returns True if the rule was
+    broken, False if it held, and None if the case could not run.
+
+    A broken rule is 3, which run.sh turns into 1: Python itself exits with 1 when it fails. Ends
+    all processes, also when this one is told to stop.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    try:
+        with Deployment(folder, placements, bounds) as deployment:
+            broken = play(deployment)
+            result = {True: BROKEN, False: HELD, None: COULD_NOT_RUN}[broken]
+            deployment.record.add({BROKEN: "the rule was broken", HELD: "the rule held",
+                                   COULD_NOT_RUN: "the case could not run"}[result])
+            return result
+    except Exception as failure:  # a fault of the case must not count as a broken rule
+        print(f"the case could not run: {failure!r}", file=sys.stderr)
+        return COULD_NOT_RUN
 
 
 def troubled():
--- a/review/parts/downloads.py
+++ b/review/downloads.py
@@ -1,6 +1,7 @@
 """Not a case, see REPORT-2.md: clients of one machine download large answers at the same time.
 
-Exits like a case: 1 if nodes of two machines were killed three times for their memory (rule Fault).
+Exits with 3 if nodes of two machines were killed three times for their memory (rule Fault), with 0
+if not, and with 2 if it could not run.
 """
 import pathlib
 import sys
@@ -64,7 +65,7 @@
             f"{statuses.count(s)} x {s or 'no answer'}" for s in sorted(set(statuses))))
     print((FOLDER / "record.txt").read_text().splitlines()[-2:])
     ended = [m for m in deployment.machines if limit.ends.get(m, 0) >= ENDS]
-    return 1 if len(ended) >= MACHINES else 0
+    return len(ended) >= MACHINES
 
 
 sys.exit(run_case(FOLDER, [("desk", "ab"[i]) for i in range(DESKS)] +
