A stop that is requested again no longer cuts the calls in flight

The node exited at once: 10 of 10 requests at work at a sound target got no answer, 5.2 s before the kill. It failed on on this machine too.

Cause: any SIGTERM or SIGINT during a stop was taken for a person who wants to cut. The count of signals does not say who asks.

Change: a stop request during a stop ends nothing. SIGQUIT ends a node at once. Which calls are taken still counts from the first request, whose kill comes first; the abort counts from the last one, bounded by drain_limit_ms from the first, so that the node cuts nothing before a kill is certain.

--- a/src/apps/node_main.cpp
+++ b/src/apps/node_main.cpp
@@ -11,6 +11,11 @@
 {
 using namespace bilberrytally;
 
+constexpr const char* usage = R"(--settings FILE
+
+Signals: SIGTERM and SIGINT begin a planned stop, which finishes the calls in flight; once it has begun, they change
+nothing. SIGQUIT aborts these calls and ends the node at once. SIGHUP reloads the settings.)";
+
 //! Buffers from this size on are returned to the system when they are freed.
 constexpr int returned_buffer_bytes = 256 << 10;
 //! Free memory at the end of the heap that is kept.
@@ -32,7 +37,7 @@
             argc, argv,
             {{"settings", 's', "Settings file (INI)", "FILE"},
              {"check-settings", 'c', "Validate the settings and exit", ""}},
-            "--settings FILE"));
+            usage));
     if (!line.has("settings") || !line.arguments().empty())
     {
         return base::fail("command line", "expected --settings FILE");
--- a/src/decisions/drain_schedule.hpp
+++ b/src/decisions/drain_schedule.hpp
@@ -11,6 +11,8 @@
     base::duration_ms min_serving;
     //! Calls that still run after this time are aborted.
     base::duration_ms limit;
+    //! The same, however often and late the stop is requested again.
+    base::duration_ms total_limit;
 
     auto operator<=>(const drain_limits&) const = default;
 
@@ -40,6 +42,12 @@
     //! \p requested is the time of the stop request.
     drain_schedule(const drain_limits& limits, base::time_ms requested);
 
+    //! The stop is requested again. It never ends sooner for that: calls that
+    //! run may use the time until the kill that the later request announces.
+    //! Which calls are taken still depends on the first request, whose kill
+    //! comes first.
+    void on_repeated_request(base::time_ms now);
+
     //! The next step. \p idle is true if no call runs and all responses are
     //! written.
     drain_step on_tick(bool idle, base::time_ms now);
@@ -51,6 +59,7 @@
 private:
     drain_limits limits;
     base::time_ms requested;
+    base::time_ms aborts_at;
     base::time_ms last_busy;
     bool port_closed{false};
 };
--- a/src/decisions/internal/drain_schedule.cpp
+++ b/src/decisions/internal/drain_schedule.cpp
@@ -23,21 +23,30 @@
     base::duration_ms min_serving, base::duration_ms limit,
     base::duration_ms kill_after)
 {
+    const auto total_limit = limit;
     if (kill_after.count > 0)
     {
         const auto latest =
             std::max(kill_after - exit_time, base::duration_ms{0});
         limit = std::min(limit, latest);
     }
-    return {std::min(min_serving, limit), limit};
+    return {std::min(min_serving, limit), limit, total_limit};
 }
 
 drain_schedule::drain_schedule(
     const drain_limits& limits, base::time_ms requested)
-    : limits(limits), requested(requested), last_busy(requested)
+    : limits(limits), requested(requested), aborts_at(requested + limits.limit),
+      last_busy(requested)
 {
 }
 
+void drain_schedule::on_repeated_request(base::time_ms now)
+{
+    const auto latest = this->requested + this->limits.total_limit;
+    this->aborts_at =
+        std::max(this->aborts_at, std::min(latest, now + this->limits.limit));
+}
+
 drain_step drain_schedule::on_tick(bool idle, base::time_ms now)
 {
     const auto since_stop = now - this->requested;
@@ -57,8 +66,7 @@
     {
         return drain_step::finish;
     }
-    return since_stop >= this->limits.limit ? drain_step::abort
-                                            : drain_step::serve;
+    return now >= this->aborts_at ? drain_step::abort : drain_step::serve;
 }
 
 base::time_ms drain_schedule::latest_deadline() const
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -362,6 +362,7 @@
             this->signals_added = true;
             this->signals.add(SIGTERM);
             this->signals.add(SIGINT);
+            this->signals.add(SIGQUIT);
             this->signals.add(SIGHUP);
         }
         this->signals.async_wait(
@@ -371,23 +372,40 @@
                 {
                     return;
                 }
-                if (signal == SIGHUP)
-                {
-                    this->reload("signal");
-                    this->wait_for_signal();
-                    return;
-                }
-                if (this->stopping)
-                {
-                    this->force_stop("second signal");
-                    return;
-                }
-                LOG(INFO) << "event=stop_requested";
-                this->begin_stop();
+                this->on_signal(signal);
                 this->wait_for_signal();
             });
     }
 
+    void on_signal(int signal)
+    {
+        switch (signal)
+        {
+        case SIGHUP:
+            this->reload("signal");
+            return;
+        case SIGQUIT:
+            this->force_stop("quit signal");
+            return;
+        default:
+            this->on_stop_request();
+        }
+    }
+
+    //! A stop may be requested again for reasons of its own, for example since
+    //! the backend server has ended; this must not cut the calls in flight.
+    void on_stop_request()
+    {
+        if (!this->stopping)
+        {
+            LOG(INFO) << "event=stop_requested";
+            this->begin_stop();
+            return;
+        }
+        LOG(INFO) << "event=stop_requested_again";
+        this->stop_repeated = true;
+    }
+
     void begin_stop()
     {
         const auto& local = this->tables.settings.node;
@@ -537,6 +555,10 @@
 
     void check_drained(base::time_ms now)
     {
+        if (this->stop_repeated.exchange(false))
+        {
+            this->stop_schedule->on_repeated_request(now);
+        }
         const bool idle = this->outbound_calls.call_count() == 0 &&
                           this->inbound_calls.call_count() == 0 &&
                           this->network->unwritten_count() == 0 &&
@@ -606,7 +628,10 @@
         this->tables, this->inbound_calls, this->outbound_calls};
     bool signals_added{false};
     std::atomic<bool> stopping{false};
-    //! Set before \c stopping, by the thread that handles the signal.
+    //! The stop was requested again since the last tick.
+    std::atomic<bool> stop_repeated{false};
+    //! Set before \c stopping, by the thread that handles the signal; used by
+    //! tick() only from then on.
     std::optional<decisions::drain_schedule> stop_schedule;
     base::time_ms last_connection_check;
     http::connection_usage last_usage;
