A signal during the start of a node is handled, not fatal

Change: SIGHUP is ignored until the settings have been read, and all handlers are added before the first port is opened.

--- a/src/apps/node_main.cpp
+++ b/src/apps/node_main.cpp
@@ -4,6 +4,7 @@
 #include "platform/adapter.hpp"
 #include "schema/settings.hpp"
 
+#include <csignal>
 #include <iostream>
 #include <malloc.h>
 
@@ -63,6 +64,9 @@
 
 int main(int argc, const char** argv)
 {
+    // A reload that is requested before the settings are read needs nothing
+    // more, but would end the process by default.
+    std::signal(SIGHUP, SIG_IGN);
     return base::handle(
         [&] { return run(argc, argv); },
         [](const base::error& failure)
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -109,6 +109,7 @@
             this->tables.platform_headers = this->adapter.headers;
         }
         http::limit_connections(this->context, connection_limits(settings));
+        this->catch_signals();
         this->start_workers();
         BOOST_LEAF_CHECK(this->open_network());
         BOOST_LEAF_CHECK(this->open_gossip());
@@ -355,16 +356,18 @@
         return draining;
     }
 
-    void wait_for_signal()
+    //! From here on no signal ends the process by itself. Those that come
+    //! before wait_for_signal() are handled then.
+    void catch_signals()
     {
-        if (!this->signals_added)
+        for (const int number : {SIGTERM, SIGINT, SIGQUIT, SIGHUP})
         {
-            this->signals_added = true;
-            this->signals.add(SIGTERM);
-            this->signals.add(SIGINT);
-            this->signals.add(SIGQUIT);
-            this->signals.add(SIGHUP);
+            this->signals.add(number);
         }
+    }
+
+    void wait_for_signal()
+    {
         this->signals.async_wait(
             [this](std::error_code error, int signal)
             {
@@ -626,7 +629,6 @@
     asio::steady_timer timer;
     frame_dispatcher frames{
         this->tables, this->inbound_calls, this->outbound_calls};
-    bool signals_added{false};
     std::atomic<bool> stopping{false};
     //! The stop was requested again since the last tick.
     std::atomic<bool> stop_repeated{false};
