Nested calls are served although their node does not serve the parent

Cause: a call is known as a parent only while this process serves it. "I do not know this parent" was taken for "there is none", a final refusal. The same lookup gives a nested call its priority, deadline and root, so that without keys it went on as a new, unimportant request.

Change: contexts of calls that ended without a response are kept beyond their deadline, those of answered ones for 2 s. A caller's node tells a node that it is connected to again which calls it had lost there (one frame, only then). What may exist and is unknown waits in the first 2 s, then gets 503, and 401 once no such parent can be left. An invented parent never runs. Two attempts of one request at a node no longer hide each other.

Weighed: only 503 (the parent's work is still lost), asking peers (whom?), the context in the id (the platform does not let the system choose ids).

--- a/src/decisions/access_rule.hpp
+++ b/src/decisions/access_rule.hpp
@@ -14,6 +14,8 @@
     maybe_outdated, //!< The key may have been added since this node's copy of
                     //!< the configuration was current.
     unproven,       //!< The key may have been removed since.
+    unknown_parent, //!< It may be a nested call of a call that this process
+                    //!< does not know.
 };
 
 //! Limits on the age of the configuration by which requests are judged.
@@ -51,6 +53,9 @@
     //! The request needs no key: its route is anonymous, or a backend server
     //! sent it while it serves another one.
     bool key_optional{false};
+    //! The request names a parent call that this process does not know, but an
+    //! earlier one may have passed on.
+    bool parent_may_exist{false};
     //! Age of the proof that the node's configuration is the newest one.
     std::optional<base::duration_ms> proof_age;
 };
--- a/src/decisions/internal/access_rule.cpp
+++ b/src/decisions/internal/access_rule.cpp
@@ -49,6 +49,10 @@
 {
     const bool valid =
         question.has_key ? question.key_known : question.key_optional;
+    if (!valid && !question.has_key && question.parent_may_exist)
+    {
+        return access_decision::unknown_parent;
+    }
     if (!valid)
     {
         return limits.proves_absence(question.proof_age)
--- a/src/decisions/tests/access_test.cpp
+++ b/src/decisions/tests/access_test.cpp
@@ -18,7 +18,7 @@
     {
         age = base::duration_ms{*age_ms};
     }
-    return decide_access({has_key, known, false, age}, limits);
+    return decide_access({has_key, known, false, false, age}, limits);
 }
 } // namespace
 
@@ -41,16 +41,35 @@
 
 TEST_CASE("a request that needs no key is served without any proof")
 {
-    const access_question nested{false, false, true, std::nullopt};
+    const access_question nested{false, false, true, false, std::nullopt};
     CHECK(decide_access(nested, limits) == access_decision::granted);
-    const access_question unknown_key{true, false, true, base::duration_ms{10}};
+    const access_question unknown_key{
+        true, false, true, false, base::duration_ms{10}};
     CHECK(decide_access(unknown_key, limits) == access_decision::unauthorized);
 }
 
+// Guards against a final refusal of nested calls whose parent ran before the
+// node was restarted.
+TEST_CASE("a parent that may exist is neither granted nor final")
+{
+    for (const auto age :
+         {std::optional<base::duration_ms>{{10}},
+          std::optional<base::duration_ms>{}})
+    {
+        const access_question nested{false, false, false, true, age};
+        CHECK(decide_access(nested, limits) == access_decision::unknown_parent);
+    }
+    const access_question keyed{true, false, false, true, base::duration_ms{1}};
+    CHECK(decide_access(keyed, limits) == access_decision::unauthorized);
+    const access_question anonymous{
+        false, false, true, true, base::duration_ms{1}};
+    CHECK(decide_access(anonymous, limits) == access_decision::granted);
+}
+
 TEST_CASE("without a revocation bound a known key needs no proof")
 {
     const auto unbound = access_limits::create({2500}, {0});
-    const access_question question{true, true, false, std::nullopt};
+    const access_question question{true, true, false, false, std::nullopt};
     CHECK(decide_access(question, unbound) == access_decision::granted);
 }
 
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -50,7 +50,7 @@
     if (this->tables.platform_headers)
     {
         this->on_routed_request(
-            connection, std::move(request), std::move(respond));
+            {connection, std::move(request), std::move(respond), base::now()});
         return;
     }
     if (request.target == keys_path && request.method == "POST")
@@ -381,7 +381,7 @@
 
 void caller_side::on_connection_closed(std::uint64_t connection)
 {
-    this->drop_quota_waits(connection);
+    this->drop_waits(connection);
     const auto call_ids = this->outbound_calls.with(
         [&](outbound_call_table& table)
         {
@@ -431,6 +431,7 @@
 {
     this->reroute_slow_calls(now);
     this->expire_overdue_calls(now);
+    this->resume_parent_waits(now);
 }
 
 void caller_side::expire_overdue_calls(base::time_ms now)
@@ -482,6 +483,9 @@
 {
     return this->outbound_calls.with(
         [](outbound_call_table& table)
-        { return table.calls.size() + table.quota_waits.size(); });
+        {
+            return table.calls.size() + table.quota_waits.size() +
+                   table.parent_waits.size();
+        });
 }
 } // namespace bilberrytally::node
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -62,6 +62,9 @@
     //! Ends the attempts that were sent over a connection that is now closed.
     void on_link_down(
         transport::link_id link, const transport::disconnect_info& loss);
+    //! A connection to another node is established. Tells the node which of
+    //! its calls ended here with an earlier connection.
+    void on_link_up(transport::link_id link, const schema::hello& peer);
     //! The node at the other end of a connection is unresponsive, or is
     //! responsive again.
     void on_link_responsiveness(
@@ -80,8 +83,8 @@
 
     //! Connections on which at least one attempt awaits its answer.
     std::set<transport::link_id> links_awaiting_answers();
-    //! Number of outbound calls in flight, those that wait for a quota
-    //! included.
+    //! Number of outbound calls in flight, those that wait for a quota or for
+    //! their parent included.
     std::size_t call_count();
 
 private:
@@ -146,11 +149,23 @@
         const schema::route_policy& route);
     answer_handler
     make_http_reply(const outbound_call& call, http::respond respond);
-    void on_routed_request(
-        std::uint64_t connection, http::request request, http::respond respond);
-    //! Whether a request may be sent, and in whose name.
-    access_result
-    check_access(const http::request& request, const directory::route& route);
+    void on_routed_request(received_request received);
+    //! Whether a request may be sent, and in whose name. \p has_parent is true
+    //! for a nested call whose parent is known.
+    access_result check_access(
+        const http::request& request, const directory::route& route,
+        bool has_parent);
+    //! Lets a nested call wait for a while until another node has told this
+    //! process of its parent. Returns false, and leaves the request, if it may
+    //! not wait or has waited long enough.
+    bool wait_for_parent(received_request& received);
+    //! Goes on with the nested calls whose parent is known now, and with those
+    //! that have waited long enough.
+    void resume_parent_waits(base::time_ms now);
+    //! Remembers a call that a lost connection has left unanswered.
+    void remember_unanswered(
+        outbound_call_table& table, std::uint64_t attempt,
+        const transport::peer_address& peer) const;
     //! Answers a request that check_access() has not granted.
     void refuse_access(
         decisions::access_decision decision, const http::respond& respond);
@@ -162,11 +177,13 @@
     //! Starts or refuses a call that has waited for its quota, unless its
     //! caller has gone.
     void on_quota_decision(std::uint64_t id, const quota_decision& decision);
-    //! Forgets the calls of a connection that wait for a quota.
-    void drop_quota_waits(std::uint64_t connection);
+    //! Forgets the calls of a connection that wait for a quota or for their
+    //! parent.
+    void drop_waits(std::uint64_t connection);
     outbound_call make_routed_call(
-        std::uint64_t connection, http::request request,
-        const directory::route_choice& choice, const access_result& access);
+        received_request& received, const directory::route_choice& choice,
+        const access_result& access,
+        const std::optional<parent_context>& parent);
     answer_handler
     make_routed_reply(const outbound_call& call, http::respond respond);
     bool may_retry_routed(outbound_call& call, const schema::answer& answer);
@@ -179,11 +196,13 @@
     //! parent call; does nothing for a success.
     void
     record_if_failed(const outbound_call& call, const schema::answer& answer);
-    //! Inherits deadline, root, depth, priority and the rerun flag from the
-    //! parent call in routed mode, if the request id begins with that of an
-    //! inbound call.
+    //! The call that causes this one, in routed mode, if the request id begins
+    //! with the id of a known call.
+    std::optional<parent_context> find_parent(const http::request& request);
+    std::string_view attempt_id_of(const http::request& request) const;
+    //! Inherits deadline, root, depth, priority and the rerun flag.
     void
-    apply_routed_context(outbound_call& new_call, std::string_view request_id);
+    apply_routed_context(outbound_call& new_call, const parent_context& parent);
     //! Retry-After for a request that was refused in routed mode.
     base::duration_ms retry_after(
         const routed_request& facts, schema::refusal reason, base::time_ms now);
--- a/src/node/internal/caller_side_links.cpp
+++ b/src/node/internal/caller_side_links.cpp
@@ -8,6 +8,17 @@
 using base::verdict;
 using schema::refusal;
 
+namespace
+{
+//! True if nothing of the call was sent before the connection was lost.
+bool is_unsent(const transport::disconnect_info& loss, std::uint64_t call)
+{
+    const auto& unsent = loss.unsent_calls;
+    return !loss.established ||
+           std::find(unsent.begin(), unsent.end(), call) != unsent.end();
+}
+} // namespace
+
 void caller_side::update_node_state(
     const transport::peer_address& peer, bool unavailable)
 {
@@ -90,14 +101,17 @@
             {
                 attempts.assign(found->second.begin(), found->second.end());
             }
+            for (const auto attempt : attempts)
+            {
+                if (!is_unsent(loss, attempt))
+                {
+                    this->remember_unanswered(table, attempt, loss.peer);
+                }
+            }
         });
     for (const auto attempt : attempts)
     {
-        const bool unsent =
-            !loss.established ||
-            std::find(
-                loss.unsent_calls.begin(), loss.unsent_calls.end(), attempt) !=
-                loss.unsent_calls.end();
+        const bool unsent = is_unsent(loss, attempt);
         const auto answer =
             unsent
                 ? make_refusal(verdict::not_run, refusal::unreachable)
--- a/src/node/internal/caller_side_quota.cpp
+++ b/src/node/internal/caller_side_quota.cpp
@@ -68,11 +68,14 @@
     this->start_call(std::move(call));
 }
 
-void caller_side::drop_quota_waits(std::uint64_t connection)
+void caller_side::drop_waits(std::uint64_t connection)
 {
     this->outbound_calls.with(
         [&](outbound_call_table& table)
         {
+            std::erase_if(
+                table.parent_waits, [&](const auto& wait)
+                { return wait.request.connection == connection; });
             std::erase_if(
                 table.quota_waits, [&](const auto& wait)
                 { return wait.second.call.connection == connection; });
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -33,9 +33,9 @@
 constexpr std::string_view authentication_scheme = "Bearer";
 } // namespace
 
-void caller_side::on_routed_request(
-    std::uint64_t connection, http::request request, http::respond respond)
+void caller_side::on_routed_request(received_request received)
 {
+    const auto& request = received.request;
     const std::string host(http::find_header(request.headers, "host"));
     std::size_t route_count = 0;
     const auto choice = this->tables.routes.with(
@@ -44,10 +44,16 @@
             route_count = routes.size();
             return routes.choose(host, request.target);
         });
+    if (route_count == 0 &&
+        this->targets.parent_may_exist(this->attempt_id_of(request)) &&
+        this->wait_for_parent(received))
+    {
+        return;
+    }
     if (route_count == 0)
     {
         this->tables.node_metrics.on_event("no_routes");
-        respond(to_routed_response(
+        received.respond(to_routed_response(
             make_refusal(verdict::not_run, refusal::no_target),
             no_routes_retry_after));
         return;
@@ -59,18 +65,32 @@
         http::response answer;
         answer.status = not_found_status;
         answer.close = this->tables.draining;
-        respond(std::move(answer));
+        received.respond(std::move(answer));
         return;
     }
-    const auto access = this->check_access(request, *choice.matched_route);
+    const auto parent = this->find_parent(request);
+    const auto access =
+        this->check_access(request, *choice.matched_route, parent.has_value());
+    const bool undecided =
+        access.decision == decisions::access_decision::unknown_parent;
+    if (undecided && this->wait_for_parent(received))
+    {
+        return;
+    }
+    if (undecided)
+    {
+        this->tables.record_event(
+            {0, "unknown_parent", 0, 0, choice.service,
+             "id=" + std::string(this->attempt_id_of(request)) + " waited_ms=" +
+                 std::to_string((base::now() - received.received).count)});
+    }
     if (access.decision != decisions::access_decision::granted)
     {
-        this->refuse_access(access.decision, respond);
+        this->refuse_access(access.decision, received.respond);
         return;
     }
-    auto new_call =
-        this->make_routed_call(connection, std::move(request), choice, access);
-    new_call.reply = this->make_routed_reply(new_call, respond);
+    auto new_call = this->make_routed_call(received, choice, access, parent);
+    new_call.reply = this->make_routed_reply(new_call, received.respond);
     if (!this->take_while_stopping(new_call))
     {
         this->refuse_stopping(new_call);
@@ -81,14 +101,27 @@
     if (has_quota)
     {
         this->start_within_quota(
-            std::move(new_call), access.workspace, std::move(respond));
+            std::move(new_call), access.workspace, std::move(received.respond));
         return;
     }
     this->start_call(std::move(new_call));
 }
 
+std::string_view caller_side::attempt_id_of(const http::request& request) const
+{
+    return http::find_header(
+        request.headers, this->tables.platform_headers->attempt_id);
+}
+
+std::optional<parent_context>
+caller_side::find_parent(const http::request& request)
+{
+    return this->targets.find_context(this->attempt_id_of(request));
+}
+
 caller_side::access_result caller_side::check_access(
-    const http::request& request, const directory::route& route)
+    const http::request& request, const directory::route& route,
+    bool has_parent)
 {
     access_result result;
     if (!this->tables.needs_proof)
@@ -100,14 +133,10 @@
         key ? directory::digest_key(*key) : directory::key_digest{};
     decisions::access_question question;
     question.has_key = key.has_value();
-    // Looked up only where it matters, since it takes the lock of the calls.
-    question.key_optional =
-        route.anonymous ||
-        (!key &&
-         this->targets
-             .find_context(http::find_header(
-                 request.headers, this->tables.platform_headers->attempt_id))
-             .has_value());
+    question.key_optional = route.anonymous || has_parent;
+    question.parent_may_exist =
+        !key && !has_parent &&
+        this->targets.parent_may_exist(this->attempt_id_of(request));
     question.proof_age = this->tables.view_age(base::now());
     this->tables.access.with(
         [&](access_table& access)
@@ -127,44 +156,50 @@
 void caller_side::refuse_access(
     decisions::access_decision decision, const http::respond& respond)
 {
-    if (decision != decisions::access_decision::unauthorized)
+    using decisions::access_decision;
+    if (decision == access_decision::unauthorized)
     {
-        this->tables.node_metrics.on_event("view_too_old");
-        respond(to_routed_response(
-            make_refusal(verdict::not_run, refusal::unproven_view),
-            unproven_view_retry_after));
+        this->tables.node_metrics.on_event("unauthorized");
+        http::response answer;
+        answer.status = unauthorized_status;
+        answer.headers.push_back(
+            {"WWW-Authenticate", std::string(authentication_scheme)});
+        answer.close = this->tables.draining;
+        respond(std::move(answer));
         return;
     }
-    this->tables.node_metrics.on_event("unauthorized");
-    http::response answer;
-    answer.status = unauthorized_status;
-    answer.headers.push_back(
-        {"WWW-Authenticate", std::string(authentication_scheme)});
-    answer.close = this->tables.draining;
-    respond(std::move(answer));
+    const bool unknown_parent = decision == access_decision::unknown_parent;
+    if (!unknown_parent)
+    {
+        this->tables.node_metrics.on_event("view_too_old");
+    }
+    const auto reason =
+        unknown_parent ? refusal::unknown_parent : refusal::unproven_view;
+    respond(to_routed_response(
+        make_refusal(verdict::not_run, reason), unproven_view_retry_after));
 }
 
 outbound_call caller_side::make_routed_call(
-    std::uint64_t connection, http::request request,
-    const directory::route_choice& choice, const access_result& access)
+    received_request& received, const directory::route_choice& choice,
+    const access_result& access, const std::optional<parent_context>& parent)
 {
+    auto& request = received.request;
     const auto& platform_headers = *this->tables.platform_headers;
     const auto& route = *choice.matched_route;
     outbound_call new_call;
     new_call.id = base::random_bits();
-    new_call.connection = connection;
-    new_call.started = base::now();
+    new_call.connection = received.connection;
+    new_call.started = received.received;
     const auto requested_ms =
         parse_number_header(request.headers, platform_headers.timeout);
     const base::duration_ms timeout{static_cast<std::int64_t>(
         std::min(requested_ms.value_or(max_timeout_ms), max_timeout_ms))};
     const auto bounded_timeout =
         route.timeout.count > 0 ? std::min(timeout, route.timeout) : timeout;
-    const auto received =
-        new_call.started -
-        this->tables.suspensions.buffered_time(new_call.started);
-    new_call.deadline = received + bounded_timeout;
-    new_call.caller_deadline = received + timeout;
+    const auto sent = new_call.started -
+                      this->tables.suspensions.buffered_time(new_call.started);
+    new_call.deadline = sent + bounded_timeout;
+    new_call.caller_deadline = sent + timeout;
     new_call.limits = {route.repeatable, std::max(route.max_attempts, 1U)};
     new_call.latency_group = route.name + '/' + choice.service;
     new_call.latency_objective = route.latency_objective;
@@ -191,34 +226,25 @@
         call.headers.push_back(
             {platform_headers.workspace, access.workspace->name});
     }
-    this->apply_routed_context(
-        new_call,
-        http::find_header(request.headers, platform_headers.attempt_id));
+    if (parent)
+    {
+        this->apply_routed_context(new_call, *parent);
+    }
     return new_call;
 }
 
 void caller_side::apply_routed_context(
-    outbound_call& new_call, std::string_view request_id)
+    outbound_call& new_call, const parent_context& parent)
 {
-    if (this->tables.platform_headers->id_separator == 0)
-    {
-        // Request ids of this platform do not identify the parent call.
-        return;
-    }
-    const auto parent = this->targets.find_context(request_id);
-    if (!parent)
-    {
-        return;
-    }
     this->tables.parent_ids_seen = true;
-    new_call.parent = parent->inbound_id;
-    new_call.deadline = std::min(new_call.deadline, parent->deadline);
+    new_call.parent = parent.inbound_id;
+    new_call.deadline = std::min(new_call.deadline, parent.deadline);
     auto& call = new_call.message;
-    call.root = parent->root;
-    call.depth = parent->depth + 1;
-    call.priority = parent->priority;
-    call.rerun = parent->rerun;
-    call.workspace = parent->workspace;
+    call.root = parent.root;
+    call.depth = parent.depth + 1;
+    call.priority = parent.priority;
+    call.rerun = parent.rerun;
+    call.workspace = parent.workspace;
 }
 
 answer_handler
--- a/src/node/internal/directory_follower_apply.cpp
+++ b/src/node/internal/directory_follower_apply.cpp
@@ -21,6 +21,19 @@
 //! The longest wait in the local backend server's queue. Takes the place of
 //! max_wait_ms in tickets, which the store does not publish.
 constexpr std::uint32_t max_queue_wait_ms = 2000;
+
+//! The largest value if a route has no time-out.
+base::duration_ms longest_timeout(const std::vector<directory::route>& routes)
+{
+    base::duration_ms longest{0};
+    for (const auto& route : routes)
+    {
+        const bool unlimited = route.timeout.count == 0;
+        longest = std::max(
+            longest, unlimited ? base::duration_ms{INT64_MAX} : route.timeout);
+    }
+    return longest;
+}
 } // namespace
 
 void directory_follower::apply(const directory::view_change& change)
@@ -83,6 +96,8 @@
         [&](directory::route_map& routes)
         { routes.replace(configuration.routes, this->tables.incarnation); });
     this->apply_access(configuration);
+    this->tables.longest_timeout_ms =
+        longest_timeout(configuration.routes).count;
     this->tables.record_event(
         {0, "configuration", 0, 0, "",
          "version=" + std::to_string(configuration.version) +
--- a/src/node/internal/frame_dispatcher.cpp
+++ b/src/node/internal/frame_dispatcher.cpp
@@ -99,6 +99,11 @@
             frame, [&](const auto& query)
             { this->inbound_calls.on_crash_query(link, query); });
         return;
+    case frame_kind::unanswered_calls:
+        this->decode_and_handle<schema::unanswered_calls>(
+            frame, [&](const auto& message)
+            { this->inbound_calls.on_unanswered_calls(message, frame.delay); });
+        return;
     case frame_kind::availability_notice:
         this->decode_and_handle<schema::hello>(
             frame, [&](const auto& peer) { this->on_peer_availability(peer); });
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -195,8 +195,11 @@
         hello.host = local.address;
         hello.port = local.node_port;
         transport::network_events events;
-        events.links.on_up = [this](auto, const auto& peer)
-        { this->frames.on_peer_availability(peer); };
+        events.links.on_up = [this](auto link, const auto& peer)
+        {
+            this->frames.on_peer_availability(peer);
+            this->outbound_calls.on_link_up(link, peer);
+        };
         events.links.on_frame = [this](auto link, auto frame)
         { this->frames.on_frame(link, std::move(frame)); };
         events.links.on_down = [this](auto link, const auto& loss)
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -22,6 +22,7 @@
     asio::io_context& context, schema::node_settings settings,
     std::uint64_t incarnation)
     : context(context), settings(std::move(settings)), incarnation(incarnation),
+      started(base::now()),
       variant(decisions::make_policy_variant(this->settings.policy.variant)),
       suspensions(base::now()), event_loop(tick_interval, base::now()),
       events(this->settings.node.timeline_events),
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -118,6 +118,7 @@
     const schema::node_settings settings;
     //! Random number that the process drew at its start.
     const std::uint64_t incarnation;
+    const base::time_ms started;
     const decisions::policy_variant variant;
     //! Names of the platform's headers. Set in routed mode only, in which a
     //! metadata store publishes routes and targets.
@@ -139,6 +140,8 @@
     //! The configuration has workspaces, so that requests are judged by the
     //! proof of freshness.
     std::atomic<bool> needs_proof{false};
+    //! Longest time-out of the routes in force, in ms.
+    std::atomic<std::int64_t> longest_timeout_ms{0};
     //! Set once the id of a nested call has identified its parent call.
     std::atomic<bool> parent_ids_seen{false};
     //! Time of the last failure of an outbound call, in ms on the monotonic
--- a/src/node/internal/outbound_call.hpp
+++ b/src/node/internal/outbound_call.hpp
@@ -5,6 +5,7 @@
 #include "decisions/key_records.hpp"
 #include "decisions/retry_budget.hpp"
 #include "decisions/target_table.hpp"
+#include "decisions/unanswered_calls.hpp"
 #include "http/http_server.hpp"
 #include "node/internal/target_side.hpp"
 #include "schema/messages.hpp"
@@ -104,6 +105,22 @@
     void set_current_attempt(const attempt_state& state);
 };
 
+//! A request as it was received, in routed mode.
+struct received_request
+{
+    std::uint64_t connection{0};
+    http::request request;
+    http::respond respond;
+    base::time_ms received;
+};
+
+//! A nested call whose parent this process does not know yet.
+struct parent_wait
+{
+    received_request request;
+    base::time_ms ends;
+};
+
 //! A request that waits for the decision on its workspace's quota.
 struct quota_wait
 {
@@ -136,6 +153,8 @@
     std::map<std::string, std::vector<answer_handler>> waiting_sends;
     //! Requests that wait for a quota, by call id. They are in no index.
     std::unordered_map<std::uint64_t, quota_wait> quota_waits;
+    std::vector<parent_wait> parent_waits;
+    decisions::unanswered_calls unanswered;
     std::uint64_t next_attempt{1};
 
     //! Adds a call to all indexes.
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -90,7 +90,8 @@
             }
             if (this->tables.platform_headers)
             {
-                table.by_request[this->request_id(new_call.message)] = id;
+                table.by_request.emplace(
+                    this->request_id(new_call.message), id);
             }
             table.calls.emplace(id, std::move(new_call));
         });
@@ -269,11 +270,15 @@
     table.by_caller_call_id.erase({removed.call.link, removed.call.message.id});
     if (this->tables.platform_headers)
     {
-        const auto indexed =
-            table.by_request.find(this->request_id(removed.call.message));
-        if (indexed != table.by_request.end() && indexed->second == id)
+        auto [first, last] = table.by_request.equal_range(
+            this->request_id(removed.call.message));
+        while (first != last && first->second != id)
         {
-            table.by_request.erase(indexed);
+            ++first;
+        }
+        if (first != last)
+        {
+            table.by_request.erase(first);
         }
     }
     if (!removed.call.is_probe_run)
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -3,6 +3,7 @@
 #include "base/guarded.hpp"
 #include "base/verdict.hpp"
 #include "decisions/admission.hpp"
+#include "decisions/call_contexts.hpp"
 #include "decisions/call_cost.hpp"
 #include "decisions/quarantine.hpp"
 #include "decisions/retry_budget.hpp"
@@ -37,7 +38,8 @@
     //! False if the nested call would be an extra dispatch, caused by a retry,
     //! and the retry budget is exhausted.
     bool within_budget{true};
-    //! Id of the inbound call that causes the nested call.
+    //! Id of the inbound call that causes the nested call; 0 if this process
+    //! does not serve it any more, or never did.
     std::uint64_t inbound_id{0};
     //! Workspace of the root request; empty for none.
     std::string workspace;
@@ -91,8 +93,18 @@
     //! inbound call has ended.
     std::optional<parent_context> take_context(std::uint64_t inbound_id);
     //! Context for a nested call whose id begins with the id of an inbound
-    //! request. Passes on no retry budget. Empty if there is no such request.
+    //! request, or of one that the backend server may still run although it has
+    //! ended here. Passes on no retry budget. Empty if no such request is
+    //! known.
     std::optional<parent_context> find_context(std::string_view request_id);
+    //! True if the id names a parent that may exist although find_context()
+    //! does not know it.
+    bool parent_may_exist(std::string_view request_id);
+    //! Takes over what another node says of the calls that it sent to the local
+    //! backend server, perhaps through an earlier process of this node. \p
+    //! delay is the time that the message spent on the way.
+    void on_unanswered_calls(
+        const schema::unanswered_calls& message, base::duration_ms delay);
     //! Records that a nested call of an inbound call has failed.
     void record_nested_failure(std::uint64_t inbound_id);
     //! Returns the unspent retry budget of a nested call. \p dispatches is the
@@ -157,6 +169,9 @@
         decisions::call_work work;
     };
 
+    //! Bound of the number of contexts kept for nested calls that come late.
+    static constexpr std::size_t max_ended_contexts = 8192;
+
     struct inbound_table
     {
         decisions::admission admission;
@@ -166,8 +181,10 @@
         std::map<std::pair<transport::link_id, std::uint64_t>, std::uint64_t>
             by_caller_call_id;
         //! By the id of the caller's attempt, which the caller sends in a
-        //! header.
-        std::unordered_map<std::string, std::uint64_t> by_request;
+        //! header. Two attempts of one request may run here at the same time.
+        std::unordered_multimap<std::string, std::uint64_t> by_request;
+        //! Calls that are not in \c calls but may cause nested calls.
+        decisions::call_contexts ended;
         std::deque<std::uint64_t> probe_run_queue;
         //! When a load report was sent last, by link; 0 for this node's calls.
         std::map<transport::link_id, base::time_ms> last_load_report;
@@ -180,7 +197,7 @@
 
         inbound_table(
             std::uint32_t slots, const decisions::policy_variant& variant)
-            : admission(slots, variant)
+            : admission(slots, variant), ended(max_ended_contexts)
         {
         }
     };
@@ -212,9 +229,15 @@
     //! Since when this node has known by the instance list that the target of
     //! the call is leaving or gone; nothing if it is neither.
     std::optional<base::time_ms> leaving_since(const schema::call& call) const;
-    //! True if the access key of the call has been removed by a configuration
-    //! that is newer than the one by which the caller's node accepted it.
-    bool is_key_revoked(const schema::call& call) const;
+    //! True if the access key has been removed by a configuration that is newer
+    //! than the one by which the caller's node accepted it.
+    bool is_key_revoked(
+        std::uint64_t key_id, std::uint64_t configuration_version) const;
+    //! Keeps the context of a call that was passed to the backend server and
+    //! has ended here.
+    void keep_context(
+        inbound_table& table, const inbound_call& call,
+        const schema::answer& answer) const;
     //! True if this node or the target of the call takes no new calls.
     bool is_draining(const schema::call& call) const;
     std::optional<schema::refusal>
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -149,7 +149,8 @@
                 reason = refusal::draining;
                 return;
             }
-            if (this->is_key_revoked(call.message))
+            if (this->is_key_revoked(
+                    call.message.key_id, call.message.configuration_version))
             {
                 reason = refusal::key_revoked;
                 return;
@@ -194,23 +195,29 @@
         [&](inbound_table& table)
         {
             const auto found = table.calls.find(id);
-            return found != table.calls.end() &&
-                   !this->leaving_since(found->second.message) &&
-                   !this->is_key_revoked(found->second.message);
+            if (found == table.calls.end())
+            {
+                return false;
+            }
+            const auto& call = found->second.message;
+            return !this->leaving_since(call) &&
+                   !this->is_key_revoked(
+                       call.key_id, call.configuration_version);
         });
 }
 
-bool target_side::is_key_revoked(const schema::call& call) const
+bool target_side::is_key_revoked(
+    std::uint64_t key_id, std::uint64_t configuration_version) const
 {
-    if (call.key_id == 0)
+    if (key_id == 0)
     {
         return false;
     }
     return this->tables.access.with(
         [&](access_table& access)
         {
-            return access.workspaces.version() > call.configuration_version &&
-                   !access.workspaces.contains(call.key_id);
+            return access.workspaces.version() > configuration_version &&
+                   !access.workspaces.contains(key_id);
         });
 }
 
@@ -367,6 +374,7 @@
             auto result = this->remove(table, id);
             if (result)
             {
+                this->keep_context(table, result->call, answer);
                 actions = table.admission.finish(id, kind, service_time, now);
                 if (this->tables.settings.placement.by_cost &&
                     kind == decisions::completion::served)
--- a/src/node/internal/target_side_nested.cpp
+++ b/src/node/internal/target_side_nested.cpp
@@ -1,8 +1,43 @@
 #include "node/internal/target_side.hpp"
 
+#include <algorithm>
+
 // The part of target_side that links nested calls to the calls that cause them.
 namespace bilberrytally::node
 {
+namespace
+{
+//! Bound of the time left that another node may state for a call, in ms.
+constexpr std::int64_t max_stated_time_ms = 3600000;
+
+//! The id of the parent request in the id of a nested call; nothing if the id
+//! names none.
+std::optional<std::string>
+parent_request(std::string_view request_id, char separator)
+{
+    const auto end = request_id.rfind(separator);
+    if (separator == 0 || end == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    return std::string(request_id.substr(0, end));
+}
+
+parent_context to_parent(const decisions::call_context& context)
+{
+    return {
+        context.root,
+        context.depth,
+        context.priority,
+        context.deadline,
+        0,
+        context.rerun,
+        true,
+        0,
+        context.workspace};
+}
+} // namespace
+
 std::optional<parent_context>
 target_side::take_context(std::uint64_t inbound_id)
 {
@@ -34,20 +69,23 @@
 std::optional<parent_context>
 target_side::find_context(std::string_view request_id)
 {
-    const auto end =
-        request_id.rfind(this->tables.platform_headers->id_separator);
-    if (end == std::string_view::npos)
+    const auto parent =
+        parent_request(request_id, this->tables.platform_headers->id_separator);
+    if (!parent)
     {
         return std::nullopt;
     }
-    const std::string parent(request_id.substr(0, end));
     return this->inbound.with(
         [&](inbound_table& table) -> std::optional<parent_context>
         {
-            const auto found = table.by_request.find(parent);
+            const auto found = table.by_request.find(*parent);
             if (found == table.by_request.end())
             {
-                return std::nullopt;
+                const auto ended = table.ended.find(*parent, base::now());
+                const bool valid =
+                    ended && !this->is_key_revoked(
+                                 ended->key_id, ended->configuration_version);
+                return valid ? std::optional(to_parent(*ended)) : std::nullopt;
             }
             auto& call = table.calls.at(found->second);
             call.has_nested_calls = true;
@@ -64,6 +102,77 @@
         });
 }
 
+bool target_side::parent_may_exist(std::string_view request_id)
+{
+    const auto parent =
+        parent_request(request_id, this->tables.platform_headers->id_separator);
+    if (!parent)
+    {
+        return false;
+    }
+    const auto now = base::now();
+    const auto unknown_time = decisions::unknown_parent_time(
+        {this->tables.longest_timeout_ms.load()});
+    return now < this->tables.started + unknown_time ||
+           this->inbound.with([&](inbound_table& table)
+                              { return table.ended.may_lack(now); });
+}
+
+void target_side::keep_context(
+    inbound_table& table, const inbound_call& call,
+    const schema::answer& answer) const
+{
+    const bool links_nested_calls =
+        this->tables.platform_headers &&
+        this->tables.platform_headers->id_separator != 0;
+    const auto not_run = static_cast<std::uint32_t>(base::verdict::not_run);
+    if (!links_nested_calls || answer.verdict == not_run)
+    {
+        return;
+    }
+    const auto& message = call.message;
+    const decisions::call_context context{
+        message.root,     message.depth,
+        message.priority, call.deadline,
+        message.rerun,    message.workspace,
+        message.key_id,   message.configuration_version};
+    const auto request = this->request_id(message);
+    if (answer.reason == schema::refusal::none)
+    {
+        table.ended.keep_answered(request, context, base::now());
+        return;
+    }
+    table.ended.keep_unanswered(request, context, base::now());
+}
+
+void target_side::on_unanswered_calls(
+    const schema::unanswered_calls& message, base::duration_ms delay)
+{
+    const auto now = base::now();
+    this->inbound.with(
+        [&](inbound_table& table)
+        {
+            for (const auto& call : message.calls)
+            {
+                if (call.service != this->tables.settings.node.service)
+                {
+                    continue;
+                }
+                const base::duration_ms remaining{std::clamp<std::int64_t>(
+                    call.remaining_ms, 0, max_stated_time_ms)};
+                table.ended.keep_unanswered(
+                    call.request,
+                    {call.root, call.depth, call.priority,
+                     now + remaining - delay, call.rerun, call.workspace,
+                     call.key_id, call.configuration_version},
+                    now);
+            }
+        });
+    this->tables.record_event(
+        {0, "unanswered_calls", 0, 0, "",
+         "received=" + std::to_string(message.calls.size())});
+}
+
 void target_side::record_nested_failure(std::uint64_t inbound_id)
 {
     this->inbound.with(
--- a/src/schema/documents.cpp
+++ b/src/schema/documents.cpp
@@ -66,6 +66,8 @@
         return "key_revoked";
     case refusal::quota:
         return "quota";
+    case refusal::unknown_parent:
+        return "unknown_parent";
     }
     return "unknown";
 }
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -44,6 +44,7 @@
     unproven_view,
     key_revoked,
     quota,
+    unknown_parent,
 };
 
 //! Name of the value as written in JSON, logs and metrics.
@@ -479,6 +480,59 @@
         archive(this->number, this->grants);
     }
 };
+//! A call that the sender sent to the receiver's backend server, with what its
+//! nested calls inherit.
+struct unanswered_call
+{
+    //! Service name.
+    std::string service{};
+    //! Id of the request, by which the target's nested calls name it.
+    std::string request{};
+    //! Id of the root request of the call graph.
+    std::uint64_t root{0};
+    //! Number of calls above this one in the call chain.
+    std::uint32_t depth{0};
+    //! Priority class, 0 is the most important.
+    std::uint32_t priority{0};
+    //! Time left until the deadline, ms.
+    std::int64_t remaining_ms{0};
+    //! An earlier attempt of this call or of a call above it may have run.
+    bool rerun{false};
+    //! Workspace of the root request; empty for none.
+    std::string workspace{};
+    //! Id of the access key that the request was sent with; 0 for none.
+    std::uint64_t key_id{0};
+    //! Version of the configuration by which the sender accepted the access
+    //! key; 0 for none.
+    std::uint64_t configuration_version{0};
+
+    bool operator==(const unanswered_call&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(
+            this->service, this->request, this->root, this->depth,
+            this->priority, this->remaining_ms, this->rerun, this->workspace,
+            this->key_id, this->configuration_version);
+    }
+};
+//! Sent when a connection is made: calls whose answers were lost with an
+//! earlier connection. The receiver may have been restarted while its backend
+//! server runs them.
+struct unanswered_calls
+{
+    //! The calls whose deadline is not over.
+    std::vector<unanswered_call> calls{};
+
+    bool operator==(const unanswered_calls&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(this->calls);
+    }
+};
 //! A ticket or an instance list, as published.
 struct document
 {
--- a/src/transport/frame.hpp
+++ b/src/transport/frame.hpp
@@ -29,6 +29,7 @@
     crash_query,      //!< Asks a peer for the crash reports that it knows.
     quota_request,    //!< Asks a holder of quota slots for tokens, a datagram.
     quota_grant,      //!< Tokens of quota slots, a datagram.
+    unanswered_calls, //!< Calls whose answers were lost with a connection.
 };
 
 //! Contents of the fixed-size header that precedes each body.
