Node: memory limits, refusals of waiting calls and of requests in places of their own

Cause: node.cpp held how the machine's memory is shared out, two functions of target_side repeated the loop over waiting calls, whether ids link nested calls was worked out twice, and caller_side::on_routed_request had grown to 80 lines.

Change: memory_limits, target_side::refuse_waiting_if, node_tables::links_nested_calls, wait_for_routes and refuse_without_route.

--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -168,7 +168,12 @@
         const transport::peer_address& peer) const;
     //! Answers a request that check_access() has not granted.
     void refuse_access(
-        decisions::access_decision decision, const http::respond& respond);
+        decisions::access_decision decision, const received_request& received);
+    //! Refuses a request while this node knows no routes at all. A nested call
+    //! waits for them for a while.
+    void wait_for_routes(received_request& received);
+    void refuse_without_route(
+        const std::string& host, const received_request& received);
     //! Starts a call if and when it is within the quota of its workspace.
     void start_within_quota(
         outbound_call new_call,
--- a/src/node/internal/caller_side_parents.cpp
+++ b/src/node/internal/caller_side_parents.cpp
@@ -94,10 +94,7 @@
     const transport::peer_address& peer) const
 {
     const auto found = table.attempts.find(attempt);
-    const bool links_nested_calls =
-        this->tables.platform_headers &&
-        this->tables.platform_headers->id_separator != 0;
-    if (found == table.attempts.end() || !links_nested_calls)
+    if (found == table.attempts.end() || !this->tables.links_nested_calls())
     {
         return;
     }
--- a/src/node/internal/caller_side_routed.cpp
+++ b/src/node/internal/caller_side_routed.cpp
@@ -44,28 +44,14 @@
             route_count = routes.size();
             return routes.choose(host, request.target);
         });
-    if (route_count == 0 &&
-        this->targets.parent_may_exist(this->attempt_id_of(request)) &&
-        this->wait_for_parent(received))
-    {
-        return;
-    }
     if (route_count == 0)
     {
-        this->tables.node_metrics.on_event("no_routes");
-        received.respond(to_routed_response(
-            make_refusal(verdict::not_run, refusal::no_target),
-            no_routes_retry_after));
+        this->wait_for_routes(received);
         return;
     }
     if (!choice.matched_route)
     {
-        this->tables.record_event(
-            {0, "no_route", 0, 0, host, "path=" + request.target});
-        http::response answer;
-        answer.status = not_found_status;
-        answer.close = this->tables.draining;
-        received.respond(std::move(answer));
+        this->refuse_without_route(host, received);
         return;
     }
     const auto parent = this->find_parent(request);
@@ -77,16 +63,9 @@
     {
         return;
     }
-    if (undecided)
-    {
-        this->tables.record_event(
-            {0, "unknown_parent", 0, 0, choice.service,
-             "id=" + std::string(this->attempt_id_of(request)) + " waited_ms=" +
-                 std::to_string((base::now() - received.received).count)});
-    }
     if (access.decision != decisions::access_decision::granted)
     {
-        this->refuse_access(access.decision, received.respond);
+        this->refuse_access(access.decision, received);
         return;
     }
     auto new_call = this->make_routed_call(received, choice, access, parent);
@@ -107,6 +86,31 @@
     this->start_call(std::move(new_call));
 }
 
+void caller_side::wait_for_routes(received_request& received)
+{
+    const bool is_nested =
+        this->targets.parent_may_exist(this->attempt_id_of(received.request));
+    if (is_nested && this->wait_for_parent(received))
+    {
+        return;
+    }
+    this->tables.node_metrics.on_event("no_routes");
+    received.respond(to_routed_response(
+        make_refusal(verdict::not_run, refusal::no_target),
+        no_routes_retry_after));
+}
+
+void caller_side::refuse_without_route(
+    const std::string& host, const received_request& received)
+{
+    this->tables.record_event(
+        {0, "no_route", 0, 0, host, "path=" + received.request.target});
+    http::response answer;
+    answer.status = not_found_status;
+    answer.close = this->tables.draining;
+    received.respond(std::move(answer));
+}
+
 std::string_view caller_side::attempt_id_of(const http::request& request) const
 {
     return http::find_header(
@@ -154,7 +158,7 @@
 }
 
 void caller_side::refuse_access(
-    decisions::access_decision decision, const http::respond& respond)
+    decisions::access_decision decision, const received_request& received)
 {
     using decisions::access_decision;
     if (decision == access_decision::unauthorized)
@@ -165,17 +169,24 @@
         answer.headers.push_back(
             {"WWW-Authenticate", std::string(authentication_scheme)});
         answer.close = this->tables.draining;
-        respond(std::move(answer));
+        received.respond(std::move(answer));
         return;
     }
-    const bool unknown_parent = decision == access_decision::unknown_parent;
-    if (!unknown_parent)
+    auto reason = refusal::unproven_view;
+    if (decision == access_decision::unknown_parent)
+    {
+        reason = refusal::unknown_parent;
+        const auto waited = base::now() - received.received;
+        this->tables.record_event(
+            {0, "unknown_parent", 0, 0, "",
+             "id=" + std::string(this->attempt_id_of(received.request)) +
+                 " waited_ms=" + std::to_string(waited.count)});
+    }
+    else
     {
         this->tables.node_metrics.on_event("view_too_old");
     }
-    const auto reason =
-        unknown_parent ? refusal::unknown_parent : refusal::unproven_view;
-    respond(to_routed_response(
+    received.respond(to_routed_response(
         make_refusal(verdict::not_run, reason), unproven_view_retry_after));
 }
 
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -8,6 +8,7 @@
 #include "node/internal/document_gossip.hpp"
 #include "node/internal/event_loop_monitor.hpp"
 #include "node/internal/frame_dispatcher.hpp"
+#include "node/internal/memory_limits.hpp"
 #include "node/internal/quota_exchange.hpp"
 #include "node/internal/settings_file.hpp"
 #include "node/internal/target_side.hpp"
@@ -44,32 +45,15 @@
 constexpr std::uint64_t admin_max_body_bytes = 1U << 20U;
 constexpr std::uint64_t max_header_bytes = 16U << 10U;
 constexpr base::duration_ms admin_read_timeout{15000};
-constexpr std::uint64_t bytes_per_mb = 1U << 20U;
-//! Part of the machine's memory that callers may use up: a quarter. The rest is
-//! for the node itself, one request of the largest size and its encoded copy,
-//! traffic between nodes and responses of the backend server.
-constexpr std::uint64_t caller_memory_divisor = 4;
-//! Half of the descriptors is for callers' connections; the rest is for files,
-//! the backend server, the metadata store and other nodes.
-constexpr std::uint64_t caller_descriptors_divisor = 2;
 constexpr base::duration_ms connection_check_interval{250};
-//! Part of the machine's memory for each of the pools of responses that
-//! caller.max_held_bytes bounds: a fifth, or the largest response.
-constexpr std::uint64_t response_memory_divisor = 5;
 
-//! Lowers caller.max_held_bytes to what the machine's memory allows.
-schema::node_settings fit_memory(schema::node_settings settings)
+std::unique_ptr<http::http_client>
+make_client(asio::io_context& context, const schema::node_settings& settings)
 {
-    auto& caller = settings.caller;
-    if (caller.memory_mb > 0)
-    {
-        const auto share = std::max<std::uint64_t>(
-            caller.memory_mb * bytes_per_mb / response_memory_divisor,
-            caller.max_answer_bytes);
-        caller.max_held_bytes = static_cast<std::uint32_t>(
-            std::min<std::uint64_t>(caller.max_held_bytes, share));
-    }
-    return settings;
+    const auto limits = response_limits(settings);
+    return settings.platform.store.empty()
+               ? http::http_client::make(context, limits)
+               : http::http_client::make_pooled(context, limits);
 }
 
 class running_node : public node
@@ -108,7 +92,7 @@
         {
             this->tables.platform_headers = this->adapter.headers;
         }
-        http::limit_connections(this->context, connection_limits(settings));
+        http::limit_connections(this->context, client_limits(settings));
         this->catch_signals();
         this->start_workers();
         BOOST_LEAF_CHECK(this->open_network());
@@ -150,34 +134,6 @@
     }
 
 private:
-    static http::connection_limits
-    connection_limits(const schema::node_settings& settings)
-    {
-        const auto& caller = settings.caller;
-        http::connection_limits limits;
-        if (caller.memory_mb > 0)
-        {
-            limits.max_held_bytes =
-                caller.memory_mb * bytes_per_mb / caller_memory_divisor;
-            limits.request_timeout = {caller.read_timeout_ms};
-        }
-        limits.max_connections =
-            caller.max_descriptors / caller_descriptors_divisor;
-        limits.head_timeout = {caller.head_timeout_ms};
-        return limits;
-    }
-
-    static std::unique_ptr<http::http_client> make_client(
-        asio::io_context& context, const schema::node_settings& settings)
-    {
-        http::client_limits limits;
-        limits.max_answer_bytes = settings.caller.max_answer_bytes;
-        limits.max_held_bytes = settings.caller.max_held_bytes;
-        return settings.platform.store.empty()
-                   ? http::http_client::make(context, limits)
-                   : http::http_client::make_pooled(context, limits);
-    }
-
     void start_workers()
     {
         for (std::uint32_t i = 0; i < this->tables.settings.node.workers; ++i)
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -69,6 +69,11 @@
     return {this->latest_deadline_ms};
 }
 
+bool node_tables::links_nested_calls() const
+{
+    return this->platform_headers && this->platform_headers->id_separator != 0;
+}
+
 std::uint32_t node_tables::shed_class(const schema::call& call) const
 {
     return this->platform_headers
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -100,6 +100,9 @@
     //! True if this is the node beside the target.
     bool is_local(const decisions::target_address& target) const;
 
+    //! True if the ids of nested calls name the calls that cause them.
+    bool links_nested_calls() const;
+
     //! Priority class of a call, to be compared with a shed threshold.
     std::uint32_t shed_class(const schema::call& call) const;
 
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -460,20 +460,33 @@
 
 void target_side::refuse_waiting(base::time_ms latest_deadline)
 {
-    std::vector<std::uint64_t> too_late;
+    this->refuse_waiting_if([&](const inbound_call& call)
+                            { return call.deadline > latest_deadline; });
+}
+
+void target_side::refuse_leaving()
+{
+    this->refuse_waiting_if(
+        [&](const inbound_call& call)
+        { return this->leaving_since(call.message).has_value(); });
+}
+
+template <class Predicate>
+void target_side::refuse_waiting_if(Predicate&& is_refused)
+{
+    std::vector<std::uint64_t> refused;
     this->inbound.with(
         [&](inbound_table& table)
         {
             for (const auto& [id, call] : table.calls)
             {
-                if (call.deadline > latest_deadline &&
-                    stop_waiting(table, id, call))
+                if (is_refused(call) && stop_waiting(table, id, call))
                 {
-                    too_late.push_back(id);
+                    refused.push_back(id);
                 }
             }
         });
-    for (const auto id : too_late)
+    for (const auto id : refused)
     {
         this->refuse(id, refusal::draining);
     }
@@ -496,27 +509,6 @@
            " revision=" + std::to_string(this->tables.directory_revision);
 }
 
-void target_side::refuse_leaving()
-{
-    std::vector<std::uint64_t> late;
-    this->inbound.with(
-        [&](inbound_table& table)
-        {
-            for (const auto& [id, call] : table.calls)
-            {
-                if (this->leaving_since(call.message) &&
-                    stop_waiting(table, id, call))
-                {
-                    late.push_back(id);
-                }
-            }
-        });
-    for (const auto id : late)
-    {
-        this->refuse(id, refusal::draining);
-    }
-}
-
 void target_side::on_policy(const schema::service_policy& policy)
 {
     this->client->set_connections_per_host(policy.connections);
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -223,6 +223,9 @@
         inbound_table& table, const inbound_call& call,
         base::time_ms now) const;
     void admit(std::uint64_t id);
+    //! Refuses the waiting calls for which \p is_refused returns true.
+    template <class Predicate>
+    void refuse_waiting_if(Predicate&& is_refused);
     //! Instance id of the local backend server: as it is listed, or as the
     //! settings name it while it is not listed.
     std::string local_instance() const;
--- a/src/node/internal/target_side_nested.cpp
+++ b/src/node/internal/target_side_nested.cpp
@@ -122,11 +122,8 @@
     inbound_table& table, const inbound_call& call,
     const schema::answer& answer) const
 {
-    const bool links_nested_calls =
-        this->tables.platform_headers &&
-        this->tables.platform_headers->id_separator != 0;
     const auto not_run = static_cast<std::uint32_t>(base::verdict::not_run);
-    if (!links_nested_calls || answer.verdict == not_run)
+    if (!this->tables.links_nested_calls() || answer.verdict == not_run)
     {
         return;
     }
