--- a/src/node/internal/target_side_nested.cpp
+++ b/src/node/internal/target_side_nested.cpp
@@ -134,12 +134,15 @@
         message.rerun,    message.workspace,
         message.key_id,   message.configuration_version};
     const auto request = this->request_id(message);
-    if (answer.reason == schema::refusal::none)
+    if (answer.reason != schema::refusal::none)
     {
+        table.ended.keep_unanswered(request, context, base::now());
+    }
+    else if (this->tables.parent_ids_seen)
+    {
+        // Most backend servers make no nested calls at all.
         table.ended.keep_answered(request, context, base::now());
-        return;
     }
-    table.ended.keep_unanswered(request, context, base::now());
 }
 
 void target_side::on_unanswered_calls(
--- a/src/node/tests/ended_parents_test.cpp
+++ b/src/node/tests/ended_parents_test.cpp
@@ -57,11 +57,22 @@
 TEST_CASE("a call that was answered a moment ago still is a parent")
 {
     target_node node;
+    node.tables.parent_ids_seen = true;
     node.offer("r", make_parent());
     node.log.respond(0);
     check_context(node.calls.find_context("r.1"));
 }
 
+TEST_CASE(
+    "nothing is kept of answered calls beside a backend server that makes "
+    "no nested calls")
+{
+    target_node node;
+    node.offer("r", make_parent());
+    node.log.respond(0);
+    CHECK_FALSE(node.calls.find_context("r.1"));
+}
+
 TEST_CASE("a call that never reached the backend server is no parent")
 {
     target_node node;
@@ -77,6 +88,7 @@
           "has ended")
 {
     target_node node(4);
+    node.tables.parent_ids_seen = true;
     node.offer("r", make_parent());
     node.offer("r", make_parent());
     REQUIRE(node.log.requests.size() == 2);
