A stopping node keeps its port open while its server runs calls

What callers saw: a payment that ran at a server during the planned stop of the node beside it failed if it made its nested call over a new connection after drain_min_ms: connection refused.

Cause: the port closes so that callers go elsewhere, but the server beside the node has nowhere else to go.

Change: from drain_min_ms on only calls that end in time are taken, as before; the port closes once the backend server runs no calls.

--- a/src/decisions/drain_schedule.hpp
+++ b/src/decisions/drain_schedule.hpp
@@ -26,16 +26,28 @@
 //! What a stopping node does next.
 enum class drain_step
 {
-    serve,      //!< Serve calls and new connections.
-    close_port, //!< Stop to accept connections; happens once.
-    finish,     //!< Exit; no call is left.
-    abort,      //!< Exit and abort the calls that are left.
+    serve,       //!< Serve calls and new connections.
+    limit_calls, //!< Take only calls that end in time from now on; happens
+                 //!< once, unless close_port comes at the same time.
+    close_port,  //!< The same, and stop to accept connections; happens once.
+    finish,      //!< Exit; no call is left.
+    abort,       //!< Exit and abort the calls that are left.
+};
+
+//! What a stopping node still has to do.
+struct drain_load
+{
+    //! No call runs and all responses are written.
+    bool idle{false};
+    //! The local backend server runs calls. It may make nested calls for them.
+    bool backend_busy{false};
 };
 
 //! Course of a planned stop: a node serves until other nodes and callers have
-//! seen that it leaves, then closes its port, and exits once no request has
-//! come for a while. After the port is closed, requests still come over open
-//! connections; only those that surely end before the process does are taken.
+//! seen that it leaves, and takes only requests that surely end before the
+//! process does from then on. Its port is closed once the local backend server
+//! runs no calls, whose nested calls may come over new connections. The node
+//! exits once no request has come over the open ones for a while.
 class drain_schedule
 {
 public:
@@ -48,12 +60,11 @@
     //! comes first.
     void on_repeated_request(base::time_ms now);
 
-    //! The next step. \p idle is true if no call runs and all responses are
-    //! written.
-    drain_step on_tick(bool idle, base::time_ms now);
+    //! The next step.
+    drain_step on_tick(const drain_load& load, base::time_ms now);
 
-    //! Latest deadline of the calls that are still taken once the port is
-    //! closed. Later ones might still run when the process ends.
+    //! Latest deadline of the calls that are still taken after limit_calls.
+    //! Later ones might still run when the process ends.
     base::time_ms latest_deadline() const;
 
 private:
@@ -61,6 +72,7 @@
     base::time_ms requested;
     base::time_ms aborts_at;
     base::time_ms last_busy;
+    bool calls_limited{false};
     bool port_closed{false};
 };
 } // namespace bilberrytally::decisions
--- a/src/decisions/internal/drain_schedule.cpp
+++ b/src/decisions/internal/drain_schedule.cpp
@@ -47,21 +47,29 @@
         std::max(this->aborts_at, std::min(latest, now + this->limits.limit));
 }
 
-drain_step drain_schedule::on_tick(bool idle, base::time_ms now)
+drain_step drain_schedule::on_tick(const drain_load& load, base::time_ms now)
 {
     const auto since_stop = now - this->requested;
-    if (!idle)
+    const bool served = since_stop >= this->limits.min_serving;
+    if (!load.idle)
     {
         this->last_busy = now;
     }
-    if (!this->port_closed && since_stop >= this->limits.min_serving)
+    if (!this->port_closed && served && !load.backend_busy)
     {
+        this->calls_limited = true;
         this->port_closed = true;
         this->last_busy = now;
         return drain_step::close_port;
     }
+    if (!this->calls_limited && served)
+    {
+        this->calls_limited = true;
+        return drain_step::limit_calls;
+    }
     const bool quiet = now - this->last_busy >= late_request_grace;
-    const bool may_finish = quiet || (idle && since_stop >= idle_close_limit);
+    const bool may_finish =
+        quiet || (load.idle && since_stop >= idle_close_limit);
     if (this->port_closed && may_finish)
     {
         return drain_step::finish;
--- a/src/decisions/tests/drain_schedule_test.cpp
+++ b/src/decisions/tests/drain_schedule_test.cpp
@@ -24,7 +24,7 @@
     drain_schedule schedule(limits, {0});
     for (std::int64_t now = 0; now < 100000; now += 10)
     {
-        const auto step = schedule.on_tick(now >= busy_until, {now});
+        const auto step = schedule.on_tick({now >= busy_until}, {now});
         if (step == drain_step::finish || step == drain_step::abort)
         {
             return {now, step};
@@ -82,8 +82,8 @@
         drain_schedule schedule(limits, {0});
         const auto latest_deadline = schedule.latest_deadline();
         schedule.on_repeated_request({again});
-        CHECK(schedule.on_tick(false, {again + 5499}) != drain_step::abort);
-        CHECK(schedule.on_tick(false, {again + 5500}) == drain_step::abort);
+        CHECK(schedule.on_tick({}, {again + 5499}) != drain_step::abort);
+        CHECK(schedule.on_tick({}, {again + 5500}) == drain_step::abort);
         CHECK(schedule.latest_deadline() == latest_deadline);
     }
 }
@@ -93,8 +93,8 @@
     const auto limits = drain_limits::create({2500}, {600000}, {6000});
     drain_schedule schedule(limits, {0});
     schedule.on_repeated_request({800});
-    CHECK(schedule.on_tick(true, {2500}) == drain_step::close_port);
-    CHECK(schedule.on_tick(true, {2700}) == drain_step::finish);
+    CHECK(schedule.on_tick({true}, {2500}) == drain_step::close_port);
+    CHECK(schedule.on_tick({true}, {2700}) == drain_step::finish);
 }
 
 // Guards against a node that never ends since it is asked again and again.
@@ -105,9 +105,26 @@
     for (std::int64_t now = 0; now < 7000; now += 100)
     {
         schedule.on_repeated_request({now});
-        CHECK(schedule.on_tick(false, {now}) != drain_step::abort);
+        CHECK(schedule.on_tick({}, {now}) != drain_step::abort);
     }
-    CHECK(schedule.on_tick(false, {7000}) == drain_step::abort);
+    CHECK(schedule.on_tick({}, {7000}) == drain_step::abort);
+}
+
+// Guards against nested calls that find no port while their parent runs.
+TEST_CASE("the port stays open while the local backend server runs calls")
+{
+    const auto limits = drain_limits::create({2500}, {600000}, {6000});
+    drain_schedule schedule(limits, {0});
+    const drain_load backend_busy{false, true};
+    CHECK(schedule.on_tick(backend_busy, {2490}) == drain_step::serve);
+    CHECK(schedule.on_tick(backend_busy, {2500}) == drain_step::limit_calls);
+    CHECK(schedule.on_tick(backend_busy, {3000}) == drain_step::serve);
+    CHECK(schedule.on_tick({false, false}, {3010}) == drain_step::close_port);
+    CHECK(schedule.on_tick({true, false}, {3200}) == drain_step::serve);
+    CHECK(schedule.on_tick({true, false}, {3210}) == drain_step::finish);
+    drain_schedule endless(limits, {0});
+    CHECK(endless.on_tick(backend_busy, {2500}) == drain_step::limit_calls);
+    CHECK(endless.on_tick(backend_busy, {5500}) == drain_step::abort);
 }
 
 TEST_CASE("without a kill the configured limit holds")
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -521,16 +521,22 @@
         {
             this->stop_schedule->on_repeated_request(now);
         }
-        const bool idle = this->outbound_calls.call_count() == 0 &&
-                          this->inbound_calls.call_count() == 0 &&
-                          this->network->unwritten_count() == 0 &&
-                          this->caller_server->unwritten_count() == 0;
-        switch (this->stop_schedule->on_tick(idle, now))
+        decisions::drain_load load;
+        load.backend_busy = this->inbound_calls.call_count() > 0;
+        load.idle = !load.backend_busy &&
+                    this->outbound_calls.call_count() == 0 &&
+                    this->network->unwritten_count() == 0 &&
+                    this->caller_server->unwritten_count() == 0;
+        switch (this->stop_schedule->on_tick(load, now))
         {
         case decisions::drain_step::serve:
             return;
+        case decisions::drain_step::limit_calls:
+            this->limit_calls();
+            return;
         case decisions::drain_step::close_port:
-            this->close_port();
+            this->limit_calls();
+            this->caller_server->close();
             return;
         case decisions::drain_step::finish:
             LOG(INFO) << "event=drained";
@@ -542,9 +548,8 @@
         }
     }
 
-    void close_port()
+    void limit_calls()
     {
-        this->caller_server->close();
         const auto latest_deadline = this->stop_schedule->latest_deadline();
         this->tables.latest_deadline_ms = latest_deadline.count;
         this->inbound_calls.refuse_waiting(latest_deadline);
