--- a/src/node/internal/caller_side_parents.cpp
+++ b/src/node/internal/caller_side_parents.cpp
@@ -16,7 +16,7 @@
 //! connected to it and told it of its calls.
 constexpr base::duration_ms introduction_time{2000};
 //! Share of a nested call's time-out (1/n) that it may wait for its parent.
-constexpr std::int64_t wait_divisor = 2;
+constexpr std::uint64_t wait_divisor = 2;
 constexpr std::size_t max_waits = 256;
 //! Bound of the bodies of the calls that wait.
 constexpr std::size_t max_waiting_bytes = 1U << 20U;
@@ -37,12 +37,11 @@
     const auto introduced = this->tables.started + introduction_time;
     const auto timeout_ms = parse_number_header(
         received.request.headers, this->tables.platform_headers->timeout);
-    const base::duration_ms longest{static_cast<std::int64_t>(std::min(
-        timeout_ms.value_or(UINT64_MAX),
-        static_cast<std::uint64_t>(introduction_time.count) * wait_divisor))};
-    const auto ends = std::min(
-        introduced,
-        received.received + base::duration_ms{longest.count / wait_divisor});
+    const base::duration_ms longest{
+        static_cast<std::int64_t>(std::min<std::uint64_t>(
+            timeout_ms.value_or(UINT64_MAX) / wait_divisor,
+            introduction_time.count))};
+    const auto ends = std::min(introduced, received.received + longest);
     if (ends <= base::now())
     {
         return false;
@@ -64,6 +63,13 @@
 
 void caller_side::resume_parent_waits(base::time_ms now)
 {
+    const bool any_waits =
+        this->outbound_calls.with([](const outbound_call_table& table)
+                                  { return !table.parent_waits.empty(); });
+    if (!any_waits)
+    {
+        return;
+    }
     std::vector<parent_wait> due;
     const bool has_routes = this->tables.routes.with(
         [](const directory::route_map& routes) { return routes.size() > 0; });
@@ -105,9 +111,7 @@
         {message.service,
          std::string(http::find_header(
              message.headers, this->tables.platform_headers->attempt_id)),
-         {message.root, message.depth, message.priority, call.deadline,
-          message.rerun, message.workspace, message.key_id,
-          message.configuration_version}});
+         context_of(message, call.deadline)});
 }
 
 void caller_side::on_link_up(transport::link_id link, const schema::hello& peer)
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -45,6 +45,10 @@
     std::string workspace;
 };
 
+//! What the nested calls of a call with this deadline inherit from it.
+decisions::call_context
+context_of(const schema::call& call, base::time_ms deadline);
+
 //! An inbound call as shown to operators.
 struct inbound_call_view
 {
--- a/src/node/internal/target_side_nested.cpp
+++ b/src/node/internal/target_side_nested.cpp
@@ -23,21 +23,22 @@
     return std::string(request_id.substr(0, end));
 }
 
-parent_context to_parent(const decisions::call_context& context)
+parent_context
+to_parent(const decisions::call_context& context, std::uint64_t inbound_id)
 {
-    return {
-        context.root,
-        context.depth,
-        context.priority,
-        context.deadline,
-        0,
-        context.rerun,
-        true,
-        0,
-        context.workspace};
+    return {context.root,  context.depth, context.priority, context.deadline, 0,
+            context.rerun, true,          inbound_id,       context.workspace};
 }
 } // namespace
 
+decisions::call_context
+context_of(const schema::call& call, base::time_ms deadline)
+{
+    return {
+        call.root,  call.depth,     call.priority, deadline,
+        call.rerun, call.workspace, call.key_id,   call.configuration_version};
+}
+
 std::optional<parent_context>
 target_side::take_context(std::uint64_t inbound_id)
 {
@@ -85,20 +86,13 @@
                 const bool valid =
                     ended && !this->is_key_revoked(
                                  ended->key_id, ended->configuration_version);
-                return valid ? std::optional(to_parent(*ended)) : std::nullopt;
+                return valid ? std::optional(to_parent(*ended, 0))
+                             : std::nullopt;
             }
             auto& call = table.calls.at(found->second);
             call.has_nested_calls = true;
-            return parent_context{
-                call.message.root,
-                call.message.depth,
-                call.message.priority,
-                call.deadline,
-                0,
-                call.message.rerun,
-                true,
-                found->second,
-                call.message.workspace};
+            return to_parent(
+                context_of(call.message, call.deadline), found->second);
         });
 }
 
@@ -127,13 +121,8 @@
     {
         return;
     }
-    const auto& message = call.message;
-    const decisions::call_context context{
-        message.root,     message.depth,
-        message.priority, call.deadline,
-        message.rerun,    message.workspace,
-        message.key_id,   message.configuration_version};
-    const auto request = this->request_id(message);
+    const auto context = context_of(call.message, call.deadline);
+    const auto request = this->request_id(call.message);
     if (answer.reason != schema::refusal::none)
     {
         table.ended.keep_unanswered(request, context, base::now());
