Port between nodes: bounds before the handshake

What callers saw: nothing of their requests was answered any more once somebody had opened 40 connections to the port between nodes and stated frames of 60 MB: the node needed 2,305 MB of 64.

Cause: room for a frame was made as its header stated it, up to 80 MB, before anything showed that the sender knows the fleet's key. Accepted connections that stay silent were kept for ever, and a failed accept was tried again at once, which keeps the processor busy while descriptors are short.

Change: up to the handshake a frame has 4 KB at most, an accepted connection 2 s; of 256 connections without a handshake the oldest is closed for each one more. After a failed accept the acceptor waits 50 ms.

--- a/src/transport/frame_buffer.hpp
+++ b/src/transport/frame_buffer.hpp
@@ -26,6 +26,9 @@
     //! \p max_body is the largest body length accepted, in bytes.
     explicit frame_buffer(std::size_t max_body);
 
+    //! Changes the limit for the frames that follow.
+    void set_max_body(std::size_t bytes);
+
     //! Where the next bytes are to be stored; never empty after next() has
     //! returned nothing. Valid until the next call of commit() or next().
     std::span<char> free_space();
--- a/src/transport/internal/frame_buffer.cpp
+++ b/src/transport/internal/frame_buffer.cpp
@@ -17,6 +17,11 @@
 {
 }
 
+void frame_buffer::set_max_body(std::size_t bytes)
+{
+    this->max_body = bytes;
+}
+
 std::span<char> frame_buffer::free_space()
 {
     if (this->large)
--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -14,12 +14,17 @@
 {
 namespace
 {
-//! Largest frame body accepted.
+//! Largest frame body accepted from a peer.
 constexpr std::size_t max_body_bytes = 80U << 20U;
+//! Largest frame body accepted before the handshake, while anybody may have
+//! opened the connection.
+constexpr std::size_t max_hello_bytes = 4U << 10U;
 //! No further message joins a batch of messages of this size.
 constexpr std::size_t max_batch_bytes = 64U << 10U;
 //! Limit for connecting and completing the handshake.
 constexpr base::duration_ms connect_timeout{500};
+//! Limit for the first frame of an accepted connection.
+constexpr base::duration_ms accept_timeout{2000};
 //! A peer from which an answer is awaited is pinged after receiving nothing for
 //! this long.
 constexpr base::duration_ms ping_after{150};
@@ -37,7 +42,7 @@
     : strand(asio::make_strand(context)), socket(this->strand), id(id),
       codec(key), peer(std::move(peer)), local_hello(std::move(local_hello)),
       events(events), last_received_at(base::now()),
-      created_at(this->last_received_at), received(max_body_bytes)
+      created_at(this->last_received_at), received(max_hello_bytes)
 {
 }
 
@@ -117,9 +122,11 @@
             const auto unanswered_for = self->ping_pending
                                             ? now - self->ping_pending_since
                                             : base::duration_ms{0};
-            const bool connecting = self->initiator && !self->established;
-            if (unanswered_for >= disconnect_after ||
-                (connecting && now - self->created_at >= connect_timeout))
+            const auto handshake_timeout =
+                self->initiator ? connect_timeout : accept_timeout;
+            const bool overdue = !self->established &&
+                                 now - self->created_at >= handshake_timeout;
+            if (unanswered_for >= disconnect_after || overdue)
             {
                 self->disconnect();
             }
@@ -348,6 +355,7 @@
         this->send_hello();
     }
     this->established = true;
+    this->received.set_max_body(max_body_bytes);
     this->events.on_up(this->id, *hello);
     this->write_next();
 }
--- a/src/transport/internal/peer_network.cpp
+++ b/src/transport/internal/peer_network.cpp
@@ -14,6 +14,12 @@
 //! Largest datagram, including the frame header: below the usual MTU of 1500
 //! bytes.
 constexpr std::size_t max_datagram_bytes = 1400;
+//! Accepted connections that may be without a complete handshake at a time.
+//! For each one more, the oldest of them is closed.
+constexpr std::size_t max_handshakes = 256;
+//! Pause after a connection could not be accepted, for example since no
+//! descriptor is left.
+constexpr std::chrono::milliseconds accept_pause{50};
 
 template <class Protocol>
 typename Protocol::endpoint
@@ -28,7 +34,7 @@
     asio::io_context& context, std::string key,
     const schema::hello& local_hello, network_events events)
     : context(context), key(std::move(key)), events(std::move(events)),
-      acceptor(context), datagram_strand(asio::make_strand(context)),
+      acceptor(context), accept_timer(context), datagram_strand(asio::make_strand(context)),
       datagrams(this->datagram_strand),
       datagram_buffer(max_datagram_bytes, '\0'), datagram_codec(this->key)
 {
@@ -44,6 +50,7 @@
                 {
                     found->second.established = true;
                 }
+                table.handshaking.erase(id);
             });
         this->events.links.on_up(id, hello);
     };
@@ -67,6 +74,7 @@
         this->table.with(
             [&](auto& table)
             {
+                table.handshaking.erase(id);
                 const auto found = table.by_id.find(id);
                 if (found == table.by_id.end())
                 {
@@ -304,6 +312,7 @@
 {
     std::error_code ignored;
     this->acceptor.close(ignored);
+    this->accept_timer.cancel();
     asio::post(
         this->datagram_strand,
         [this]
@@ -342,13 +351,43 @@
             }
             if (!error)
             {
-                const auto link = this->table.with(
-                    [&](auto& table)
-                    { return this->make_link(table, {}, table.next_id++); });
-                link->accept(std::move(accepted));
+                this->on_accepted(std::move(accepted));
+                this->accept_next();
+                return;
+            }
+            this->accept_timer.expires_after(accept_pause);
+            this->accept_timer.async_wait(
+                [this](std::error_code stopped)
+                {
+                    if (!stopped)
+                    {
+                        this->accept_next();
+                    }
+                });
+        });
+}
+
+void peer_network::on_accepted(asio::ip::tcp::socket accepted)
+{
+    std::shared_ptr<peer_link> oldest;
+    const auto link = this->table.with(
+        [&](auto& table)
+        {
+            if (table.handshaking.size() >= max_handshakes)
+            {
+                const auto oldest_id = *table.handshaking.begin();
+                table.handshaking.erase(table.handshaking.begin());
+                oldest = table.by_id.at(oldest_id).link;
             }
-            this->accept_next();
+            const auto id = table.next_id++;
+            table.handshaking.insert(id);
+            return this->make_link(table, {}, id);
         });
+    if (oldest)
+    {
+        oldest->close();
+    }
+    link->accept(std::move(accepted));
 }
 
 void peer_network::receive_next()
--- a/src/transport/peer_link.hpp
+++ b/src/transport/peer_link.hpp
@@ -103,8 +103,8 @@
     //! Checks that the peer still responds; to be called periodically. If
     //! answers are awaited and nothing was received for a while, sends a ping.
     //! If the ping stays unanswered, first reports the peer as unresponsive,
-    //! then closes the connection. Also closes an outgoing connection that
-    //! is not established after 500 ms.
+    //! then closes the connection. Also closes a connection whose handshake
+    //! takes too long.
     void check_liveness(bool awaiting_answers);
 
 private:
--- a/src/transport/peer_network.hpp
+++ b/src/transport/peer_network.hpp
@@ -5,6 +5,7 @@
 #include "transport/peer_link.hpp"
 
 #include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <atomic>
 #include <map>
@@ -93,6 +94,8 @@
     {
         std::map<link_id, link_entry> by_id;
         std::map<peer_address, link_id> by_address;
+        //! Accepted connections whose handshake is not complete.
+        std::set<link_id> handshaking;
         std::set<std::uint32_t> partitioned_ports;
         schema::hello local_hello;
         link_id next_id{1};
@@ -104,6 +107,7 @@
 
     base::result<void> listen(const peer_address& local_address);
     void accept_next();
+    void on_accepted(asio::ip::tcp::socket accepted);
     void receive_next();
     void on_datagram(std::size_t length);
     std::shared_ptr<peer_link>
@@ -117,6 +121,7 @@
     //! the owner's callbacks.
     link_events tracking_events;
     asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer accept_timer;
     asio::strand<asio::io_context::executor_type> datagram_strand;
     asio::ip::udp::socket datagrams;
     asio::ip::udp::endpoint datagram_sender;
