--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -67,6 +67,8 @@
     //! Limit for the response bodies buffered by all unfinished transfers
     //! together.
     std::uint64_t max_held_bytes{128U << 20U};
+    //! A lower limit that depends on what else the process holds; may be empty.
+    std::function<std::uint64_t()> room_for_responses{};
 };
 
 //! Receives the result of a transfer.
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -40,8 +40,11 @@
 struct connection_limits
 {
     //! Bytes of connections, their unfinished and unanswered requests and their
-    //! unwritten responses. A single larger request is still served.
+    //! unwritten responses.
     std::uint64_t max_held_bytes{0};
+    //! Whether a single larger request is still served. Called with a lock
+    //! held; always true where it is not set.
+    std::function<bool()> allows_large_request{};
     std::uint64_t max_connections{0};
     //! Limit for reading the head of a request, from its first byte on.
     base::duration_ms head_timeout;
@@ -67,6 +70,8 @@
 void limit_connections(
     asio::io_context& context, const connection_limits& limits);
 
+connection_usage connections_in_use(asio::io_context& context);
+
 //! Closes connections whose unfinished request has exceeded its time; to be
 //! called at intervals. Returns the usage.
 connection_usage check_connections(asio::io_context& context);
--- a/src/http/http_types.hpp
+++ b/src/http/http_types.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/shared_text.hpp"
 #include "schema/messages.hpp"
 
 #include <cstdint>
@@ -28,7 +29,7 @@
     //! Path and query.
     std::string target;
     header_list headers;
-    std::string body;
+    base::shared_text body;
 };
 
 //! A response sent by the server or received by the client.
--- a/src/http/internal/connection_account.cpp
+++ b/src/http/internal/connection_account.cpp
@@ -239,7 +239,9 @@
         this->largest != nullptr &&
         this->largest->running + (this->largest->entered_parsed > 0 ? 1 : 0) <=
             1;
-    if (!has_single_request)
+    const bool may_be_large = !this->limits.allows_large_request ||
+                              this->limits.allows_large_request();
+    if (!has_single_request || !may_be_large)
     {
         return this->counts.held_bytes;
     }
--- a/src/http/internal/held_body_meter.cpp
+++ b/src/http/internal/held_body_meter.cpp
@@ -1,10 +1,13 @@
 #include "http/internal/held_body_meter.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace bilberrytally::http
 {
-held_body_meter::held_body_meter(std::uint64_t limit) : limit(limit)
+held_body_meter::held_body_meter(
+    std::uint64_t limit, std::function<std::uint64_t()> room)
+    : limit(limit), room(std::move(room))
 {
 }
 
@@ -24,7 +27,9 @@
 bool held_body_meter::must_end(std::uint64_t own) const
 {
     const auto sharing = std::max<std::uint64_t>(this->holders, 1);
-    return this->bytes > this->limit && own > this->limit / sharing;
+    const auto allowed =
+        this->room ? std::min(this->limit, this->room()) : this->limit;
+    return this->bytes > allowed && own > allowed / sharing;
 }
 
 std::uint64_t held_body_meter::total() const
--- a/src/http/internal/held_body_meter.hpp
+++ b/src/http/internal/held_body_meter.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 
 namespace bilberrytally::http
 {
@@ -10,8 +11,10 @@
 class held_body_meter
 {
 public:
-    //! \p limit is the largest number of bytes held together.
-    explicit held_body_meter(std::uint64_t limit);
+    //! \p limit is the largest number of bytes held together; \p room a lower
+    //! limit that may change, or empty.
+    explicit held_body_meter(
+        std::uint64_t limit, std::function<std::uint64_t()> room = nullptr);
 
     //! Records that a transfer holds \p after bytes, and before \p before.
     void update(std::uint64_t before, std::uint64_t after);
@@ -26,6 +29,7 @@
 
 private:
     std::uint64_t limit;
+    std::function<std::uint64_t()> room;
     std::atomic<std::uint64_t> bytes{0};
     //! Number of transfers that hold any.
     std::atomic<std::uint64_t> holders{0};
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -64,7 +64,8 @@
 public:
     curl_client(asio::io_context& context, const client_limits& limits)
         : context(context), strand(asio::make_strand(context)),
-          timer(this->strand), limits(limits), held(limits.max_held_bytes),
+          timer(this->strand), limits(limits),
+          held(limits.max_held_bytes, limits.room_for_responses),
           multi(curl_multi_init())
     {
         curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -35,8 +35,11 @@
 constexpr std::uint64_t response_bytes = 1U << 10U;
 //! Memory of a request in progress beside its head and body.
 constexpr std::uint64_t request_bytes = 2U << 10U;
-//! A request is held as received, and as encoded for another node.
-constexpr std::uint64_t request_copies = 2;
+//! The head of a request is held as received and as forwarded.
+constexpr std::uint64_t head_copies = 2;
+//! Bodies from this size on are not copied: the request that RESTinio made is
+//! kept instead.
+constexpr std::size_t shared_body_bytes = 16U << 10U;
 constexpr std::uint32_t unavailable_status = 503;
 
 using shared_pipelines = std::shared_ptr<pipeline_table>;
@@ -89,18 +92,23 @@
     return text;
 }
 
-request to_request(
-    restinio::generic_request_t<restinio::no_extra_data_factory_t::data_t>&
-        incoming)
+request to_request(const restinio::request_handle_t& incoming)
 {
     request result;
-    result.method = incoming.header().method().c_str();
-    result.target = incoming.header().request_target();
-    incoming.header().for_each_field(
+    result.method = incoming->header().method().c_str();
+    result.target = incoming->header().request_target();
+    incoming->header().for_each_field(
         [&](const auto& field) {
             result.headers.push_back({to_lower(field.name()), field.value()});
         });
-    result.body = incoming.body();
+    if (incoming->body().size() >= shared_body_bytes)
+    {
+        result.body = {incoming, incoming->body()};
+    }
+    else if (!incoming->body().empty())
+    {
+        result.body = incoming->body();
+    }
     return result;
 }
 
@@ -323,18 +331,18 @@
         const auto connection = incoming->connection_id();
         const auto number = pipelines->add(connection);
         const auto entry = entry_of_request(account);
-        // Made now, since the request with its body is not kept until the
-        // response. Shared, since std::function needs a copyable object.
+        // Made now, since it takes the connection out of the request, which a
+        // large body keeps alive. Shared, since std::function needs a copyable
+        // object.
         auto builder =
             std::make_shared<response_builder>(incoming->create_response());
-        auto received = to_request(*incoming);
+        auto received = to_request(incoming);
         incoming.reset();
         const auto head_size = header_bytes(received);
         // Shared for the same reason.
         std::shared_ptr<connection_account::charge> held =
             entry->complete_request(
-                request_bytes +
-                    request_copies * (head_size + received.body.size()),
+                request_bytes + head_copies * head_size + received.body.size(),
                 base::now());
         if (head_size > server_options.max_header_bytes)
         {
@@ -383,6 +391,11 @@
     asio::use_service<account_service>(context).account.set_limits(limits);
 }
 
+connection_usage connections_in_use(asio::io_context& context)
+{
+    return asio::use_service<account_service>(context).account.usage();
+}
+
 connection_usage check_connections(asio::io_context& context)
 {
     auto& account = asio::use_service<account_service>(context).account;
--- a/src/http/internal/pooled_client.cpp
+++ b/src/http/internal/pooled_client.cpp
@@ -32,8 +32,8 @@
 public:
     pooled_client(asio::io_context& context, const client_limits& limits)
         : strand(asio::make_strand(context)), timer(this->strand),
-          limits(limits),
-          unfinished(std::make_shared<held_body_meter>(limits.max_held_bytes))
+          limits(limits), unfinished(std::make_shared<held_body_meter>(
+                              limits.max_held_bytes, limits.room_for_responses))
     {
     }
 
--- a/src/http/internal/pooled_connection.cpp
+++ b/src/http/internal/pooled_connection.cpp
@@ -41,12 +41,12 @@
 }
 } // namespace
 
-std::string serialize_request(const transfer_request& request)
+std::string serialize_head(const transfer_request& request)
 {
     const auto& content = request.content;
     constexpr std::size_t usual_header_bytes = 512;
     std::string bytes;
-    bytes.reserve(usual_header_bytes + content.body.size());
+    bytes.reserve(usual_header_bytes);
     bytes.append(content.method).append(" ").append(content.target);
     bytes.append(" HTTP/1.1\r\n");
     bool has_host = false;
@@ -68,7 +68,7 @@
         bytes.append("content-length: ");
         bytes.append(std::to_string(content.body.size())).append("\r\n");
     }
-    bytes.append("\r\n").append(content.body);
+    bytes.append("\r\n");
     return bytes;
 }
 
@@ -130,7 +130,8 @@
     const transfer_request& request, end_handler on_done)
 {
     this->on_done = std::move(on_done);
-    this->outgoing = serialize_request(request);
+    this->outgoing_head = serialize_head(request);
+    this->outgoing_body = request.content.body;
     this->expected_id = request.response_id;
     this->may_send = request.may_send;
     this->carried_ids.push_back(request.response_id.value);
@@ -150,11 +151,16 @@
     // From here on, bytes may have reached the server.
     this->may_have_sent = true;
     auto self = this->shared_from_this();
+    const std::array<asio::const_buffer, 2> buffers{
+        asio::buffer(this->outgoing_head),
+        asio::buffer(this->outgoing_body.text())};
     asio::async_write(
-        this->socket, asio::buffer(this->outgoing),
+        this->socket, buffers,
         [self](std::error_code error, std::size_t)
         {
             self->writing = false;
+            self->outgoing_head.clear();
+            self->outgoing_body = {};
             if (error && !self->is_closed && !self->reading)
             {
                 self->close(transfer_outcome::broken);
--- a/src/http/internal/pooled_connection.hpp
+++ b/src/http/internal/pooled_connection.hpp
@@ -94,7 +94,9 @@
     std::uint64_t received_bytes{0};
     idle_close_handler on_idle_close;
     end_handler on_done;
-    std::string outgoing;
+    //! The request until it is written.
+    std::string outgoing_head;
+    base::shared_text outgoing_body;
     schema::header expected_id;
     std::function<bool()> may_send;
     //! Ids of the last requests, the current one included; the latest is last.
@@ -111,6 +113,7 @@
     std::array<char, read_buffer_bytes> buffer{};
 };
 
-//! Serializes a request; adds Host and Content-Length, but no Expect header.
-std::string serialize_request(const transfer_request& request);
+//! Serializes a request without its body; adds Host and Content-Length, but no
+//! Expect header.
+std::string serialize_head(const transfer_request& request);
 } // namespace bilberrytally::http
--- a/src/node/internal/admin_api.cpp
+++ b/src/node/internal/admin_api.cpp
@@ -172,7 +172,7 @@
                                      this->tables.settings.node.test_hooks;
     if (partition_requested)
     {
-        return this->set_partitioned_ports(request.body);
+        return this->set_partitioned_ports(request.body.text());
     }
     return make_problem_response(not_found, "not found", request.target);
 }
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -353,9 +353,11 @@
     }
     else if (state.id != 0 && state.link != 0)
     {
+        this->network->withdraw(
+            state.link, transport::frame_kind::call, state.id);
         this->network->send(
             state.link, transport::frame_kind::cancel,
-            transport::encode(schema::cancel{state.id}), 0);
+            transport::encode(schema::cancel{state.id}));
     }
 }
 
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -50,15 +50,15 @@
     void on_connection_closed(std::uint64_t connection);
 
     //! Handles a call that another node sent here since this node is the home
-    //! of its idempotency key. \p delay is the time that the call spent on the
-    //! way, which counts against its deadline.
-    void on_home_call(
-        transport::link_id link, schema::call call, base::duration_ms delay);
+    //! of its idempotency key.
+    void on_home_call(received_call received);
     //! Cancels such a call; \p remote_call is its id at the sending node.
     void on_home_cancel(transport::link_id link, std::uint64_t remote_call);
 
     //! Handles the answer of another node to an attempt.
     void on_answer(transport::link_id link, schema::answer answer);
+    //! The target's node has no memory for an attempt, which it did not get.
+    void on_declined(std::uint64_t attempt);
     //! Ends the attempts that were sent over a connection that is now closed.
     void on_link_down(
         transport::link_id link, const transport::disconnect_info& loss);
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -240,7 +240,7 @@
     const decisions::target_address& target)
 {
     const auto link = this->network->link_to({target.host, target.port});
-    std::optional<std::string> body;
+    std::optional<transport::outgoing_message> message;
     this->outbound_calls.with(
         [&](outbound_call_table& table)
         {
@@ -251,14 +251,16 @@
             }
             found->second.link = link;
             table.by_link[link].insert(attempt);
-            body = transport::encode(found->second.message);
+            const auto& call = found->second.message;
+            message = transport::outgoing_message{
+                transport::frame_kind::call, transport::encode(call), call.body,
+                attempt, nullptr};
         });
-    if (!body)
+    if (!message)
     {
         return;
     }
-    const bool queued = this->network->send(
-        link, transport::frame_kind::call, std::move(*body), attempt);
+    const bool queued = this->network->send(link, std::move(*message));
     if (!queued)
     {
         this->on_attempt_end(
@@ -294,6 +296,12 @@
     this->on_attempt_end(attempt, {std::move(answer), true});
 }
 
+void caller_side::on_declined(std::uint64_t attempt)
+{
+    this->on_attempt_end(
+        attempt, {make_refusal(verdict::not_run, refusal::memory), true});
+}
+
 void caller_side::report_result(
     const outbound_call& call, const attempt_state& state,
     const attempt_outcome& outcome)
--- a/src/node/internal/caller_side_keys.cpp
+++ b/src/node/internal/caller_side_keys.cpp
@@ -116,14 +116,15 @@
     }
 }
 
-void caller_side::on_home_call(
-    transport::link_id link, schema::call call, base::duration_ms delay)
+void caller_side::on_home_call(received_call received)
 {
+    const auto link = received.link;
+    auto& call = received.message;
     outbound_call new_call;
     new_call.id = base::random_bits();
     new_call.started = base::now();
-    new_call.deadline =
-        new_call.started + base::duration_ms{call.remaining_ms} - delay;
+    new_call.deadline = new_call.started +
+                        base::duration_ms{call.remaining_ms} - received.delay;
     new_call.budget = decisions::request_retry_budget(call.budget);
     new_call.remote_link = link;
     new_call.remote_call = call.id;
@@ -134,11 +135,14 @@
         answer.id = remote;
         answer.digest = digest;
         answer.load = {};
+        base::shared_text body(std::move(answer.body));
         this->network->send(
-            link, transport::frame_kind::answer, transport::encode(answer), 0);
+            link, {transport::frame_kind::answer, transport::encode(answer),
+                   std::move(body), remote, nullptr});
     };
     call.home = false;
     new_call.message = std::move(call);
+    new_call.held = std::move(received.held);
     if (!this->take_while_stopping(new_call))
     {
         this->refuse_stopping(new_call);
--- a/src/node/internal/caller_side_parents.cpp
+++ b/src/node/internal/caller_side_parents.cpp
@@ -138,6 +138,6 @@
          "sent=" + std::to_string(calls.size()) + " peer=" + peer.host});
     this->network->send(
         link, transport::frame_kind::unanswered_calls,
-        transport::encode(message), 0);
+        transport::encode(message));
 }
 } // namespace bilberrytally::node
--- a/src/node/internal/directory_follower_peers.cpp
+++ b/src/node/internal/directory_follower_peers.cpp
@@ -100,7 +100,7 @@
     {
         this->network->send(
             this->network->link_to(peer), transport::frame_kind::item_query,
-            transport::encode(schema::item_query{*after}), 0);
+            transport::encode(schema::item_query{*after}));
     }
 }
 
@@ -111,7 +111,7 @@
         this->state.with([&](follower_state& state)
                          { return state.view.changes_after(query.after); });
     this->network->send(
-        link, transport::frame_kind::item_list, transport::encode(list), 0);
+        link, transport::frame_kind::item_list, transport::encode(list));
 }
 
 void directory_follower::on_items(const schema::item_list& list)
--- a/src/node/internal/document_gossip.cpp
+++ b/src/node/internal/document_gossip.cpp
@@ -222,7 +222,7 @@
     for (const auto& peer : peers)
     {
         const auto link = this->network->link_to(peer);
-        this->network->send(link, transport::frame_kind::document, body, 0);
+        this->network->send(link, transport::frame_kind::document, body);
     }
 }
 
@@ -253,8 +253,8 @@
     }
     const auto link = this->network->link_to({digest.host, digest.port});
     this->network->send(
-        link, transport::frame_kind::bucket_summary, transport::encode(summary),
-        0);
+        link, transport::frame_kind::bucket_summary,
+        transport::encode(summary));
 }
 
 void document_gossip::on_summary(
@@ -281,8 +281,7 @@
             local_ids.ids = store.ids(local_ids.buckets);
         });
     this->network->send(
-        link, transport::frame_kind::bucket_ids, transport::encode(local_ids),
-        0);
+        link, transport::frame_kind::bucket_ids, transport::encode(local_ids));
 }
 
 void document_gossip::on_bucket_ids(
@@ -301,13 +300,13 @@
     {
         this->network->send(
             link, transport::frame_kind::document,
-            transport::encode(schema::document{std::move(text)}), 0);
+            transport::encode(schema::document{std::move(text)}));
     }
     if (ids.reply)
     {
         this->network->send(
             link, transport::frame_kind::bucket_ids,
-            transport::encode(local_ids), 0);
+            transport::encode(local_ids));
     }
 }
 
--- a/src/node/internal/frame_dispatcher.cpp
+++ b/src/node/internal/frame_dispatcher.cpp
@@ -72,13 +72,23 @@
     {
     case frame_kind::call:
         this->decode_and_handle<schema::call>(
-            frame, [&](schema::call call)
-            { this->on_call(link, std::move(call), frame.delay); });
+            frame,
+            [&](schema::call call)
+            {
+                call.body = std::move(frame.payload);
+                this->on_call(
+                    {link, std::move(call), frame.delay,
+                     std::move(frame.held)});
+            });
         return;
     case frame_kind::answer:
         this->decode_and_handle<schema::answer>(
-            frame, [&](schema::answer answer)
-            { this->outbound_calls.on_answer(link, std::move(answer)); });
+            frame,
+            [&](schema::answer answer)
+            {
+                answer.body = std::move(frame.payload);
+                this->outbound_calls.on_answer(link, std::move(answer));
+            });
         return;
     case frame_kind::cancel:
         this->decode_and_handle<schema::cancel>(
@@ -156,15 +166,31 @@
     }
 }
 
-void frame_dispatcher::on_call(
-    transport::link_id link, schema::call call, base::duration_ms delay)
+void frame_dispatcher::on_call(received_call received)
+{
+    if (received.message.home)
+    {
+        this->outbound_calls.on_home_call(std::move(received));
+        return;
+    }
+    this->inbound_calls.on_call(std::move(received));
+}
+
+void frame_dispatcher::on_declined(
+    transport::link_id link, transport::frame_kind kind, std::uint64_t call,
+    const std::string& body)
 {
-    if (call.home)
+    this->tables.record_event({0, "message_declined", 0, call, "", ""});
+    if (kind == transport::frame_kind::call)
     {
-        this->outbound_calls.on_home_call(link, std::move(call), delay);
+        this->outbound_calls.on_declined(call);
         return;
     }
-    this->inbound_calls.on_call(link, std::move(call), delay);
+    auto answer = transport::decode<schema::answer>(body);
+    if (answer)
+    {
+        this->inbound_calls.replace_answer(link, std::move(*answer));
+    }
 }
 
 void frame_dispatcher::on_datagram(const transport::frame& frame)
--- a/src/node/internal/frame_dispatcher.hpp
+++ b/src/node/internal/frame_dispatcher.hpp
@@ -12,6 +12,7 @@
 class document_gossip;
 class quota_exchange;
 class target_side;
+struct received_call;
 
 //! Decodes the frames of other nodes and hands them to the part of this node
 //! that they are meant for. Frames that no part handles are rejected.
@@ -31,6 +32,12 @@
     void on_frame(transport::link_id link, transport::frame frame);
     void on_datagram(const transport::frame& frame);
 
+    //! The node at the other end of a connection has no memory for a message
+    //! of this node.
+    void on_declined(
+        transport::link_id link, transport::frame_kind kind, std::uint64_t call,
+        const std::string& body);
+
     //! Records whether a node that has connected, or says so itself, drains.
     void on_peer_availability(const schema::hello& peer);
 
@@ -40,8 +47,7 @@
     //! Frames about documents and items, which nodes exchange among themselves.
     void
     on_gossip_frame(transport::link_id link, const transport::frame& frame);
-    void on_call(
-        transport::link_id link, schema::call call, base::duration_ms delay);
+    void on_call(received_call received);
 
     node_tables& tables;
     target_side& inbound_calls;
--- a/src/node/internal/memory_limits.cpp
+++ b/src/node/internal/memory_limits.cpp
@@ -7,9 +7,8 @@
 namespace
 {
 constexpr std::uint64_t bytes_per_mb = 1U << 20U;
-//! Part of the machine's memory that callers may use up: a quarter. The rest is
-//! for the node itself, one request of the largest size and its encoded copy,
-//! traffic between nodes and responses of the backend server.
+//! Part of the machine's memory that callers may use up: a quarter, as for each
+//! use in decisions/memory_shares.
 constexpr std::uint64_t caller_memory_divisor = 4;
 //! Half of the descriptors is for callers' connections; the rest is for files,
 //! the backend server, the metadata store and other nodes.
@@ -19,13 +18,18 @@
 constexpr std::uint64_t response_memory_divisor = 5;
 } // namespace
 
+std::uint64_t machine_bytes(const schema::node_settings& settings)
+{
+    return settings.caller.memory_mb * bytes_per_mb;
+}
+
 schema::node_settings fit_memory(schema::node_settings settings)
 {
     auto& caller = settings.caller;
     if (caller.memory_mb > 0)
     {
         const auto share = std::max<std::uint64_t>(
-            caller.memory_mb * bytes_per_mb / response_memory_divisor,
+            machine_bytes(settings) / response_memory_divisor,
             caller.max_answer_bytes);
         caller.max_held_bytes = static_cast<std::uint32_t>(
             std::min<std::uint64_t>(caller.max_held_bytes, share));
@@ -39,8 +43,7 @@
     http::connection_limits limits;
     if (caller.memory_mb > 0)
     {
-        limits.max_held_bytes =
-            caller.memory_mb * bytes_per_mb / caller_memory_divisor;
+        limits.max_held_bytes = machine_bytes(settings) / caller_memory_divisor;
         limits.request_timeout = {caller.read_timeout_ms};
     }
     limits.max_connections =
--- a/src/node/internal/memory_limits.hpp
+++ b/src/node/internal/memory_limits.hpp
@@ -7,6 +7,9 @@
 //! How the memory and the descriptors of the machine are shared out.
 namespace bilberrytally::node
 {
+//! Memory of the machine in bytes; 0 for no limit.
+std::uint64_t machine_bytes(const schema::node_settings& settings);
+
 //! Lowers caller.max_held_bytes to what the machine's memory allows.
 schema::node_settings fit_memory(schema::node_settings settings);
 
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -47,13 +47,14 @@
 constexpr base::duration_ms admin_read_timeout{15000};
 constexpr base::duration_ms connection_check_interval{250};
 
-std::unique_ptr<http::http_client>
-make_client(asio::io_context& context, const schema::node_settings& settings)
+std::unique_ptr<http::http_client> make_client(node_tables& tables)
 {
-    const auto limits = response_limits(settings);
-    return settings.platform.store.empty()
-               ? http::http_client::make(context, limits)
-               : http::http_client::make_pooled(context, limits);
+    auto limits = response_limits(tables.settings);
+    limits.room_for_responses = [&memory = tables.memory]
+    { return memory.room(decisions::memory_use::responses); };
+    return tables.settings.platform.store.empty()
+               ? http::http_client::make(tables.context, limits)
+               : http::http_client::make_pooled(tables.context, limits);
 }
 
 class running_node : public node
@@ -65,8 +66,7 @@
         : adapter(std::move(adapter)), reloaded_settings(settings, file),
           work_guard(asio::make_work_guard(this->context)),
           tables(this->context, fit_memory(settings), base::random_bits()),
-          inbound_calls(
-              this->tables, make_client(this->context, this->tables.settings)),
+          inbound_calls(this->tables, make_client(this->tables)),
           outbound_calls(this->tables, this->inbound_calls),
           signals(this->context), timer(this->context)
     {
@@ -92,7 +92,10 @@
         {
             this->tables.platform_headers = this->adapter.headers;
         }
-        http::limit_connections(this->context, client_limits(settings));
+        auto limits = client_limits(settings);
+        limits.allows_large_request = [&memory = this->tables.memory]
+        { return memory.allows_large_client(); };
+        http::limit_connections(this->context, limits);
         this->catch_signals();
         this->start_workers();
         BOOST_LEAF_CHECK(this->open_network());
@@ -172,6 +175,16 @@
                 {0, "frame_rejected", 0, 0, "",
                  std::string("reason=") + transport::to_string(problem)});
         };
+        events.links.reserve = [this](auto kind, auto bytes)
+        {
+            const auto use = kind == transport::frame_kind::answer
+                                 ? decisions::memory_use::answers
+                                 : decisions::memory_use::calls;
+            return this->tables.memory.reserve(use, bytes);
+        };
+        events.links.on_declined =
+            [this](auto link, auto kind, auto call, const auto& body)
+        { this->frames.on_declined(link, kind, call, body); };
         events.links.logical_time = [this]
         { return this->tables.events.tick(); };
         events.on_datagram = [this](const auto& frame)
@@ -421,6 +434,7 @@
                 this->directory->on_resumed();
             }
         }
+        this->network->resume_offers();
         this->outbound_calls.tick(now);
         this->inbound_calls.tick(now);
         if (this->directory)
@@ -496,6 +510,12 @@
             "client_held_bytes", static_cast<double>(usage.held_bytes));
         metrics.set_gauge(
             "client_connections", static_cast<double>(usage.connections));
+        const auto held = this->tables.memory.held();
+        metrics.set_gauge("call_held_bytes", static_cast<double>(held.calls));
+        metrics.set_gauge(
+            "response_held_bytes", static_cast<double>(held.responses));
+        metrics.set_gauge(
+            "answer_held_bytes", static_cast<double>(held.answers));
         metrics.on_event(
             "client_closed",
             static_cast<double>(usage.closed - this->last_usage.closed));
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -1,6 +1,7 @@
 #include "node/internal/node_tables.hpp"
 
 #include "decisions/admission.hpp"
+#include "node/internal/memory_limits.hpp"
 
 #include <glog/logging.h>
 
@@ -26,6 +27,7 @@
       variant(decisions::make_policy_variant(this->settings.policy.variant)),
       suspensions(base::now()), event_loop(tick_interval, base::now()),
       events(this->settings.node.timeline_events),
+      memory(context, machine_bytes(this->settings)),
       keys(max_key_records, key_lifetime)
 {
     this->routing.with(
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -16,6 +16,7 @@
 #include "directory/route_map.hpp"
 #include "directory/workspace_directory.hpp"
 #include "node/internal/event_loop_monitor.hpp"
+#include "node/internal/memory_account.hpp"
 #include "node/internal/metrics.hpp"
 #include "node/internal/suspension_detector.hpp"
 #include "schema/settings.hpp"
@@ -130,6 +131,7 @@
     event_loop_monitor event_loop;
     metrics node_metrics;
     timeline::timeline events;
+    memory_account memory;
     std::atomic<bool> draining{false};
     //! Calls with a later deadline are not taken, in ms on the monotonic clock.
     //! Set late in a planned stop, after which this process answers nothing.
--- a/src/node/internal/outbound_call.hpp
+++ b/src/node/internal/outbound_call.hpp
@@ -76,6 +76,8 @@
     //! Time within which the caller needs the response; 0 if not stated.
     base::duration_ms latency_objective;
 
+    //! Memory of a call that another node sent here; else null.
+    transport::held_memory held;
     //! Memory reserved for the response, in bytes.
     std::uint64_t reserved_bytes{0};
 
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -20,6 +20,19 @@
 //! caller.max_held_bytes.
 constexpr std::uint64_t long_work_memory_divisor = 2;
 
+//! Memory of a call beside its headers and body.
+constexpr std::uint64_t call_bytes = 2U << 10U;
+
+std::uint64_t memory_of(const schema::call& call)
+{
+    std::uint64_t bytes = call_bytes + call.path.size() + call.body.size();
+    for (const auto& header : call.headers)
+    {
+        bytes += sizeof(header) + header.name.size() + header.value.size();
+    }
+    return bytes;
+}
+
 std::uint64_t route_key(const schema::call& call)
 {
     const auto path = call.path.substr(0, call.path.find('?'));
@@ -50,16 +63,29 @@
     this->cancel_nested_calls = std::move(cancel_nested_calls);
 }
 
-void target_side::on_call(
-    transport::link_id link, schema::call call, base::duration_ms delay)
+void target_side::on_call(received_call received)
 {
     const auto now = base::now();
     inbound_call new_call;
-    new_call.link = link;
-    new_call.deadline = now + base::duration_ms{call.remaining_ms} - delay;
-    new_call.message = std::move(call);
+    new_call.link = received.link;
+    new_call.deadline =
+        now + base::duration_ms{received.message.remaining_ms} - received.delay;
+    new_call.message = std::move(received.message);
     new_call.arrived = now;
-    new_call.transit = delay;
+    new_call.transit = received.delay;
+    new_call.held = received.held ? std::move(received.held)
+                                  : this->tables.memory.reserve(
+                                        decisions::memory_use::calls,
+                                        memory_of(new_call.message));
+    if (!new_call.held)
+    {
+        this->tables.record_event(
+            {0, "refuse", new_call.message.root, 0, new_call.message.service,
+             "reason=memory"});
+        this->send_answer(
+            new_call, make_refusal(base::verdict::not_run, refusal::memory));
+        return;
+    }
     this->admit(this->add(std::move(new_call)));
 }
 
@@ -345,20 +371,35 @@
     }
     this->inbound.with([&](inbound_table& table)
                        { answer.load = this->report(table, call, now); });
-    const bool has_room =
-        answer.body.size() <= small_body_bytes ||
-        this->network->unwritten_bytes() + answer.body.size() <=
-            this->tables.settings.caller.max_held_bytes;
-    if (!has_room)
+    this->send_to_node(call.link, std::move(answer));
+}
+
+void target_side::send_to_node(transport::link_id link, schema::answer answer)
+{
+    using decisions::memory_use;
+    auto& memory = this->tables.memory;
+    const auto size = answer.body.size();
+    auto held = size <= small_body_bytes
+                    ? memory.hold(memory_use::responses, size)
+                    : memory.reserve(memory_use::responses, size);
+    if (!held)
     {
-        // The caller's node reads more slowly than responses come.
-        answer.verdict =
-            static_cast<std::uint32_t>(base::verdict::may_have_run);
-        answer.reason = refusal::memory;
-        answer.body.clear();
+        // The callers' nodes read more slowly than responses come.
+        this->replace_answer(link, std::move(answer));
+        return;
     }
+    base::shared_text body(std::move(answer.body));
     this->network->send(
-        call.link, transport::frame_kind::answer, transport::encode(answer), 0);
+        link, {transport::frame_kind::answer, transport::encode(answer),
+               std::move(body), answer.id, std::move(held)});
+}
+
+void target_side::replace_answer(transport::link_id link, schema::answer answer)
+{
+    answer.verdict = static_cast<std::uint32_t>(base::verdict::may_have_run);
+    answer.reason = refusal::memory;
+    answer.body.clear();
+    this->send_to_node(link, std::move(answer));
 }
 
 schema::load_report target_side::report(
@@ -397,7 +438,10 @@
     if (id)
     {
         this->cancel(*id);
+        return;
     }
+    this->network->withdraw(
+        link, transport::frame_kind::answer, caller_call_id);
 }
 
 bool target_side::stop_waiting(
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -61,6 +61,18 @@
     base::duration_ms age;
 };
 
+//! A call as another node sent it.
+struct received_call
+{
+    transport::link_id link{0};
+    schema::call message;
+    //! Time that the call may have spent in socket buffers and waiting for
+    //! memory; it is taken off the time that remains.
+    base::duration_ms delay;
+    //! Memory reserved for the call; null if none was asked for.
+    transport::held_memory held;
+};
+
 //! Answer without an HTTP response for the caller's node: the call was not
 //! served, or its result is unusable or unknown.
 schema::answer make_refusal(base::verdict verdict, schema::refusal reason);
@@ -79,14 +91,16 @@
         transport::peer_network& network,
         std::function<void(std::uint64_t)> cancel_nested_calls);
 
-    //! Takes a call from another node. \p delay is the time that the frame may
-    //! have spent in socket buffers; it is taken off the time that remains.
-    void on_call(
-        transport::link_id link, schema::call call, base::duration_ms delay);
+    //! Takes a call from another node, or refuses it if there is no memory.
+    void on_call(received_call received);
     //! \p caller_call_id is the id that the caller's node gave the call.
     void on_cancel(transport::link_id link, std::uint64_t caller_call_id);
     void on_link_down(transport::link_id link);
 
+    //! Answers a call without a response, since the caller's node has no memory
+    //! for the response.
+    void replace_answer(transport::link_id link, schema::answer answer);
+
     //! Takes a call from this node's caller side; returns an id for cancel().
     std::uint64_t offer_local(
         schema::call call, base::time_ms deadline, answer_handler reply);
@@ -169,6 +183,8 @@
         //! A nested call that the backend server made for this call has failed.
         bool nested_call_failed{false};
         std::uint64_t transfer_id{0};
+        //! Memory of a call of another node.
+        transport::held_memory held;
         //! The call in \c outstanding, if calls are placed by cost.
         decisions::call_work work;
     };
@@ -288,6 +304,8 @@
         std::uint64_t id, schema::refusal reason,
         const std::string& detail = {});
     void send_answer(inbound_call& call, schema::answer answer);
+    //! Sends an answer to another node as far as there is memory for it.
+    void send_to_node(transport::link_id link, schema::answer answer);
     //! Ids of the crashes while a request ran, one a line. Tell the caller's
     //! node which target does the probe run.
     std::string crash_ids(std::uint64_t fingerprint);
--- a/src/node/internal/target_side_crashes.cpp
+++ b/src/node/internal/target_side_crashes.cpp
@@ -216,7 +216,7 @@
             static_cast<std::uint64_t>((now - record.reported).count);
         this->network->send(
             link, transport::frame_kind::crash_report,
-            transport::encode(report), 0);
+            transport::encode(report));
     }
 }
 
@@ -255,7 +255,7 @@
     {
         this->network->send(
             this->network->link_to({peer.address.host, peer.address.port}),
-            transport::frame_kind::crash_query, body, 0);
+            transport::frame_kind::crash_query, body);
     }
 }
 
@@ -279,7 +279,7 @@
     {
         const auto link =
             this->network->link_to({peer.address.host, peer.address.port});
-        this->network->send(link, transport::frame_kind::crash_report, body, 0);
+        this->network->send(link, transport::frame_kind::crash_report, body);
     }
 }
 } // namespace bilberrytally::node
--- a/src/transport/frame.hpp
+++ b/src/transport/frame.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace bilberrytally::transport
@@ -30,6 +31,11 @@
     quota_request,    //!< Asks a holder of quota slots for tokens, a datagram.
     quota_grant,      //!< Tokens of quota slots, a datagram.
     unanswered_calls, //!< Calls whose answers were lost with a connection.
+    payload_offer,    //!< A message with a payload too large for one frame.
+    payload_accept,   //!< The offered payload may be sent.
+    payload_decline,  //!< The offered message is not taken.
+    payload_withdraw, //!< The offered message is not sent any more.
+    payload_piece,    //!< A piece of an accepted payload.
 };
 
 //! Contents of the fixed-size header that precedes each body.
@@ -39,6 +45,9 @@
     std::uint32_t kind{0};
     //! Body length in bytes.
     std::uint32_t length{0};
+    //! Length of the payload, the last part of the body: bytes that belong to
+    //! the message but are not serialized with it.
+    std::uint32_t payload{0};
     //! Sequence number of the frame in its connection, from 1; 0 in datagrams.
     std::uint64_t sequence{0};
     //! Session id that the receiver announced in its hello; 0 before that and
@@ -52,15 +61,22 @@
     bool operator==(const frame_header&) const = default;
 };
 
+//! Memory that counts as held until the last copy is gone.
+using held_memory = std::shared_ptr<void>;
+
 //! A received frame that passed all checks.
 struct frame
 {
     frame_kind kind{frame_kind::hello};
+    //! The serialized message.
     std::string body;
+    std::string payload;
     //! Queueing delay on the way, see delay_meter; 0 for datagrams.
     base::duration_ms delay;
     //! Send time on the sender's hybrid logical clock.
     std::uint64_t logical_time{0};
+    //! Memory reserved for the payload; null for a small one.
+    held_memory held;
 };
 
 //! Why a received frame was rejected.
--- a/src/transport/frame_buffer.hpp
+++ b/src/transport/frame_buffer.hpp
@@ -16,6 +16,7 @@
     frame_header header;
     header_bytes header_as_sent{};
     std::string body;
+    std::string payload;
 };
 
 //! Splits the bytes of a connection into frames. Many small frames are read at
@@ -45,6 +46,8 @@
 
 private:
     std::size_t stored() const;
+    //! The part of the large frame that is received next.
+    std::span<char> missing_of_large();
     std::optional<received_frame> take_large();
     void begin_large(const frame_header& header, const header_bytes& as_sent);
 
--- a/src/transport/frame_codec.hpp
+++ b/src/transport/frame_codec.hpp
@@ -19,8 +19,11 @@
     //! \p key is the HMAC key that all nodes share.
     explicit frame_codec(std::string_view key);
 
-    //! Encodes the header of \p body with its checksum and tag.
-    header_bytes seal(const frame_header& header, std::string_view body);
+    //! Encodes the header of a frame with its checksum and tag. \p payload
+    //! follows \p body.
+    header_bytes seal(
+        const frame_header& header, std::string_view body,
+        std::string_view payload = {});
 
     //! Decodes a header before its body has arrived. \p max_body is the largest
     //! body length allowed, in bytes. Does not verify checksum and tag.
@@ -28,7 +31,9 @@
         const header_bytes& bytes, std::size_t max_body, frame_header& out);
 
     //! Verifies checksum and tag once the body has arrived.
-    frame_error verify(const header_bytes& bytes, std::string_view body);
+    frame_error verify(
+        const header_bytes& bytes, std::string_view body,
+        std::string_view payload = {});
 
 private:
     struct context_deleter
@@ -37,7 +42,9 @@
     };
     using tag = std::array<char, 16>;
 
-    tag compute_tag(const header_bytes& bytes, std::string_view body);
+    tag compute_tag(
+        const header_bytes& bytes, std::string_view body,
+        std::string_view payload);
 
     std::unique_ptr<evp_mac_ctx_st, context_deleter> mac_context;
 };
--- a/src/transport/internal/frame_buffer.cpp
+++ b/src/transport/internal/frame_buffer.cpp
@@ -26,7 +26,7 @@
 {
     if (this->large)
     {
-        return std::span(this->large->body).subspan(this->large_received);
+        return this->missing_of_large();
     }
     // Allocated here, so that a connection that never opens holds no buffer.
     this->bytes.resize(buffer_bytes);
@@ -60,9 +60,11 @@
         const auto size = frame.header_as_sent.size() + frame.header.length;
         if (this->stored() >= size)
         {
-            frame.body.assign(
-                this->bytes.data() + this->begin + frame.header_as_sent.size(),
-                frame.header.length);
+            const auto* body =
+                this->bytes.data() + this->begin + frame.header_as_sent.size();
+            const auto body_size = frame.header.length - frame.header.payload;
+            frame.body.assign(body, body_size);
+            frame.payload.assign(body + body_size, frame.header.payload);
             this->begin += size;
             return frame;
         }
@@ -92,9 +94,20 @@
     return this->end - this->begin;
 }
 
+std::span<char> frame_buffer::missing_of_large()
+{
+    const auto body_size = this->large->body.size();
+    if (this->large_received < body_size)
+    {
+        return std::span(this->large->body).subspan(this->large_received);
+    }
+    return std::span(this->large->payload)
+        .subspan(this->large_received - body_size);
+}
+
 std::optional<received_frame> frame_buffer::take_large()
 {
-    if (this->large_received < this->large->body.size())
+    if (this->large_received < this->large->header.length)
     {
         return std::nullopt;
     }
@@ -104,13 +117,21 @@
 void frame_buffer::begin_large(
     const frame_header& header, const header_bytes& as_sent)
 {
-    this->large = received_frame{header, as_sent, {}};
-    this->large->body.resize(header.length);
-    const auto body_start = this->begin + as_sent.size();
-    this->large_received = this->end - body_start;
-    std::copy_n(
-        this->bytes.begin() + static_cast<std::ptrdiff_t>(body_start),
-        this->large_received, this->large->body.begin());
+    this->large = received_frame{header, as_sent, {}, {}};
+    this->large->body.resize(header.length - header.payload);
+    this->large->payload.resize(header.payload);
+    this->large_received = 0;
+    auto stored = std::span(this->bytes)
+                      .subspan(this->begin + as_sent.size())
+                      .first(this->stored() - as_sent.size());
+    while (!stored.empty())
+    {
+        const auto space = this->missing_of_large();
+        const auto count = std::min(space.size(), stored.size());
+        std::copy_n(stored.begin(), count, space.begin());
+        this->large_received += count;
+        stored = stored.subspan(count);
+    }
     this->begin = 0;
     this->end = 0;
 }
--- a/src/transport/internal/frame_codec.cpp
+++ b/src/transport/internal/frame_codec.cpp
@@ -12,10 +12,10 @@
 namespace
 {
 //! Identifies the protocol ("BTL") and, in the lowest byte, its version.
-constexpr std::uint32_t magic = 0x42544c01;
+constexpr std::uint32_t magic = 0x42544c02;
 // Layout of the header, as byte offsets: magic number 0, kind 4, body length
-// 8, unused 12, sequence number 16, session id 24, send time 32, logical time
-// 40, checksum of the body 48, tag 56.
+// 8, payload length 12, sequence number 16, session id 24, send time 32,
+// logical time 40, checksum of the body 48, tag 56.
 constexpr std::size_t checksum_offset = 48;
 constexpr std::size_t tag_offset = 56;
 
@@ -34,6 +34,13 @@
     std::memcpy(&value, bytes.data() + offset, sizeof(value));
     return value;
 }
+
+std::uint64_t checksum(std::string_view body, std::string_view payload)
+{
+    const auto body_hash = base::hash(body);
+    return payload.empty() ? body_hash
+                           : base::combine(body_hash, base::hash(payload));
+}
 } // namespace
 
 const char* to_string(frame_error error)
@@ -76,19 +83,20 @@
         parameters);
 }
 
-header_bytes
-frame_codec::seal(const frame_header& header, std::string_view body)
+header_bytes frame_codec::seal(
+    const frame_header& header, std::string_view body, std::string_view payload)
 {
     header_bytes bytes{};
     put(bytes, 0, magic);
     put(bytes, 4, header.kind);
     put(bytes, 8, header.length);
+    put(bytes, 12, header.payload);
     put(bytes, 16, header.sequence);
     put(bytes, 24, header.session);
     put(bytes, 32, header.sent_at);
     put(bytes, 40, header.logical_time);
-    put(bytes, checksum_offset, base::hash(body));
-    const auto tag = this->compute_tag(bytes, body);
+    put(bytes, checksum_offset, checksum(body, payload));
+    const auto tag = this->compute_tag(bytes, body, payload);
     std::memcpy(bytes.data() + tag_offset, tag.data(), tag.size());
     return bytes;
 }
@@ -102,29 +110,34 @@
     }
     out.kind = get<std::uint32_t>(bytes, 4);
     out.length = get<std::uint32_t>(bytes, 8);
+    out.payload = get<std::uint32_t>(bytes, 12);
     out.sequence = get<std::uint64_t>(bytes, 16);
     out.session = get<std::uint64_t>(bytes, 24);
     out.sent_at = get<std::int64_t>(bytes, 32);
     out.logical_time = get<std::uint64_t>(bytes, 40);
+    if (out.payload > out.length)
+    {
+        return frame_error::garbage;
+    }
     return out.length > max_body ? frame_error::oversize : frame_error::none;
 }
 
-frame_error
-frame_codec::verify(const header_bytes& bytes, std::string_view body)
+frame_error frame_codec::verify(
+    const header_bytes& bytes, std::string_view body, std::string_view payload)
 {
-    if (get<std::uint64_t>(bytes, checksum_offset) != base::hash(body))
+    if (get<std::uint64_t>(bytes, checksum_offset) != checksum(body, payload))
     {
         return frame_error::bad_tag;
     }
-    const auto expected = this->compute_tag(bytes, body);
+    const auto expected = this->compute_tag(bytes, body, payload);
     const bool same =
         CRYPTO_memcmp(
             bytes.data() + tag_offset, expected.data(), expected.size()) == 0;
     return same ? frame_error::none : frame_error::bad_tag;
 }
 
-frame_codec::tag
-frame_codec::compute_tag(const header_bytes& bytes, std::string_view body)
+frame_codec::tag frame_codec::compute_tag(
+    const header_bytes& bytes, std::string_view body, std::string_view payload)
 {
     const auto as_bytes = [](const char* data)
     { return reinterpret_cast<const unsigned char*>(data); };
@@ -132,6 +145,7 @@
     EVP_MAC_init(mac, nullptr, 0, nullptr);
     EVP_MAC_update(mac, as_bytes(bytes.data()), tag_offset);
     EVP_MAC_update(mac, as_bytes(body.data()), body.size());
+    EVP_MAC_update(mac, as_bytes(payload.data()), payload.size());
     std::array<unsigned char, EVP_MAX_MD_SIZE> full_tag{};
     std::size_t length = 0;
     EVP_MAC_final(mac, full_tag.data(), &length, full_tag.size());
--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -14,8 +14,11 @@
 {
 namespace
 {
-//! Largest frame body accepted from a peer.
-constexpr std::size_t max_body_bytes = 80U << 20U;
+//! Largest frame body accepted from a peer. Documents and lists of items are
+//! sent as one frame.
+constexpr std::size_t max_body_bytes = 16U << 20U;
+//! Larger payloads are offered first and sent in pieces.
+constexpr std::size_t max_inline_payload_bytes = 64U << 10U;
 //! Largest frame body accepted before the handshake, while anybody may have
 //! opened the connection.
 constexpr std::size_t max_hello_bytes = 4U << 10U;
@@ -87,16 +90,31 @@
         });
 }
 
-void peer_link::send(frame_kind kind, std::string body, std::uint64_t call)
+void peer_link::send(outgoing_message message)
 {
     auto self = this->shared_from_this();
     // Runs immediately if the strand is idle, without a hop to another worker.
     asio::dispatch(
-        this->strand,
-        [self, message = outgoing{kind, std::move(body), call}]() mutable
+        this->strand, [self, message = std::move(message)]() mutable
         { self->enqueue(std::move(message)); });
 }
 
+void peer_link::withdraw(frame_kind kind, std::uint64_t call)
+{
+    auto self = this->shared_from_this();
+    asio::dispatch(
+        this->strand,
+        [self, kind, call]
+        {
+            const auto offer = self->outgoing.find(kind, call);
+            if (offer)
+            {
+                self->outgoing.remove(*offer);
+                self->enqueue_reply(frame_kind::payload_withdraw, *offer);
+            }
+        });
+}
+
 void peer_link::close()
 {
     auto self = this->shared_from_this();
@@ -140,7 +158,7 @@
                 self->ping_pending_since = now;
                 if (self->established)
                 {
-                    self->enqueue({frame_kind::ping, {}, 0});
+                    self->enqueue({frame_kind::ping, {}, {}, 0, nullptr});
                 }
             }
         });
@@ -148,45 +166,49 @@
 
 void peer_link::send_hello()
 {
-    this->queue.push_front({frame_kind::hello, encode(this->local_hello), 0});
-    this->unwritten_body_bytes += this->queue.front().body.size();
+    this->queue.push_front(
+        {frame_kind::hello, encode(this->local_hello), {}, 0, nullptr});
     this->write_next();
 }
 
-void peer_link::enqueue(outgoing message)
+void peer_link::enqueue(outgoing_message message)
 {
     if (this->disconnected)
     {
-        if (message.call != 0)
+        if (message.sent_call() != 0)
         {
             this->events.on_down(
                 this->id, {this->peer_instance,
                            this->peer,
                            this->established,
-                           {message.call}});
+                           {message.sent_call()}});
         }
         return;
     }
-    this->unwritten_body_bytes += message.body.size();
+    if (message.payload.size() > max_inline_payload_bytes)
+    {
+        const auto offer = this->outgoing.add(std::move(message));
+        message = {frame_kind::payload_offer, encode(offer), {}, 0, nullptr};
+    }
     this->queue.push_back(std::move(message));
     this->write_next();
     this->update_unwritten_count();
 }
 
-std::size_t peer_link::unwritten_count() const
+void peer_link::enqueue_reply(frame_kind kind, std::uint64_t offer)
 {
-    return this->unwritten_messages;
+    this->enqueue({kind, encode(schema::payload_reply{offer}), {}, 0, nullptr});
 }
 
-std::uint64_t peer_link::unwritten_bytes() const
+std::size_t peer_link::unwritten_count() const
 {
-    return this->unwritten_body_bytes;
+    return this->unwritten_messages;
 }
 
 void peer_link::update_unwritten_count()
 {
-    this->unwritten_messages =
-        this->queue.size() + (this->writing ? this->batch.size() : 0);
+    this->unwritten_messages = this->queue.size() + this->outgoing.size() +
+                               (this->writing ? this->batch.size() : 0);
 }
 
 void peer_link::write_next()
@@ -202,10 +224,11 @@
     }
     this->writing = true;
     std::vector<asio::const_buffer> buffers;
-    for (std::size_t i = 0; i < this->batch.size(); ++i)
+    for (const auto& frame : this->batch)
     {
-        buffers.push_back(asio::buffer(this->batch_headers[i]));
-        buffers.push_back(asio::buffer(this->batch[i].body));
+        buffers.push_back(asio::buffer(frame.header));
+        buffers.push_back(asio::buffer(frame.body));
+        buffers.push_back(asio::buffer(frame.data));
     }
     auto self = this->shared_from_this();
     asio::async_write(
@@ -223,19 +246,9 @@
         });
 }
 
-void peer_link::clear_batch()
-{
-    for (const auto& message : this->batch)
-    {
-        this->unwritten_body_bytes -= message.body.size();
-    }
-    this->batch.clear();
-    this->batch_headers.clear();
-}
-
 void peer_link::fill_batch()
 {
-    this->clear_batch();
+    this->batch.clear();
     std::size_t batch_bytes = 0;
     while (!this->queue.empty() && batch_bytes < max_batch_bytes)
     {
@@ -244,27 +257,45 @@
         {
             return;
         }
-        const frame_header header{
-            static_cast<std::uint32_t>(message.kind),
-            static_cast<std::uint32_t>(message.body.size()),
-            this->next_sequence,
-            this->peer_session,
-            base::now().count,
-            this->events.logical_time()};
-        if (this->partitioned)
-        {
-            this->unwritten_body_bytes -= message.body.size();
-        }
-        else
-        {
-            ++this->next_sequence;
-            batch_bytes += message.body.size();
-            this->batch_headers.push_back(
-                this->codec.seal(header, message.body));
-            this->batch.push_back(std::move(message));
-        }
+        batch_bytes += message.body.size() + message.payload.size();
+        const std::string_view data = message.payload;
+        this->add_to_batch(
+            message.kind, {{},
+                           std::move(message.body),
+                           std::move(message.payload),
+                           data,
+                           std::move(message.held)});
         this->queue.pop_front();
     }
+    // Behind the other messages, so that these do not wait for all pieces.
+    if (auto piece = this->outgoing.next_piece())
+    {
+        this->add_to_batch(
+            frame_kind::payload_piece,
+            {{},
+             encode(schema::payload_piece{piece->id, {}}),
+             std::move(piece->payload),
+             piece->data,
+             std::move(piece->held)});
+    }
+}
+
+void peer_link::add_to_batch(frame_kind kind, written_frame frame)
+{
+    if (this->partitioned)
+    {
+        return;
+    }
+    const frame_header header{
+        static_cast<std::uint32_t>(kind),
+        static_cast<std::uint32_t>(frame.body.size() + frame.data.size()),
+        static_cast<std::uint32_t>(frame.data.size()),
+        this->next_sequence++,
+        this->peer_session,
+        base::now().count,
+        this->events.logical_time()};
+    frame.header = this->codec.seal(header, frame.body, frame.data);
+    this->batch.push_back(std::move(frame));
 }
 
 void peer_link::read_next()
@@ -301,8 +332,8 @@
 void peer_link::on_complete_frame(received_frame received)
 {
     const auto& header = received.header;
-    const auto problem =
-        this->codec.verify(received.header_as_sent, received.body);
+    const auto problem = this->codec.verify(
+        received.header_as_sent, received.body, received.payload);
     if (problem != frame_error::none)
     {
         this->reject(problem);
@@ -365,16 +396,16 @@
     const auto kind = static_cast<frame_kind>(received.header.kind);
     if (kind == frame_kind::ping)
     {
-        this->enqueue({frame_kind::pong, {}, 0});
+        this->enqueue({frame_kind::pong, {}, {}, 0, nullptr});
         return;
     }
-    if (kind == frame_kind::pong)
+    if (kind == frame_kind::pong || this->on_payload_frame(received, delay))
     {
         return;
     }
     this->events.on_frame(
-        this->id,
-        {kind, std::move(received.body), delay, received.header.logical_time});
+        this->id, {kind, std::move(received.body), std::move(received.payload),
+                   delay, received.header.logical_time, nullptr});
 }
 
 void peer_link::reject(frame_error error)
@@ -403,16 +434,19 @@
     std::error_code ignored;
     this->socket.close(ignored);
     disconnect_info loss{
-        this->peer_instance, this->peer, this->established, {}};
+        this->peer_instance, this->peer, this->established,
+        this->outgoing.sent_calls()};
     for (const auto& message : this->queue)
     {
-        this->unwritten_body_bytes -= message.body.size();
-        if (message.call != 0)
+        if (message.sent_call() != 0)
         {
-            loss.unsent_calls.push_back(message.call);
+            loss.unsent_calls.push_back(message.sent_call());
         }
     }
     this->queue.clear();
+    this->outgoing.clear();
+    this->incoming.clear();
+    this->update_offers_wait();
     this->writing = false;
     this->update_unwritten_count();
     this->events.on_down(this->id, loss);
--- a/src/transport/internal/peer_network.cpp
+++ b/src/transport/internal/peer_network.cpp
@@ -5,7 +5,9 @@
 #include <asio/ip/address.hpp>
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace bilberrytally::transport
 {
@@ -34,7 +36,8 @@
     asio::io_context& context, std::string key,
     const schema::hello& local_hello, network_events events)
     : context(context), key(std::move(key)), events(std::move(events)),
-      acceptor(context), accept_timer(context), datagram_strand(asio::make_strand(context)),
+      acceptor(context), accept_timer(context),
+      datagram_strand(asio::make_strand(context)),
       datagrams(this->datagram_strand),
       datagram_buffer(max_datagram_bytes, '\0'), datagram_codec(this->key)
 {
@@ -169,22 +172,57 @@
     return id;
 }
 
-bool peer_network::send(
-    link_id id, frame_kind kind, std::string body, std::uint64_t call)
+bool peer_network::send(link_id id, outgoing_message message)
 {
     const auto link = this->find(id);
     if (!link)
     {
         return false;
     }
-    if (kind != frame_kind::call && kind != frame_kind::answer)
+    if (message.kind != frame_kind::call && message.kind != frame_kind::answer)
     {
-        this->sent_control_bytes += frame_header_bytes + body.size();
+        this->sent_control_bytes += frame_header_bytes + message.body.size();
     }
-    link->send(kind, std::move(body), call);
+    link->send(std::move(message));
     return true;
 }
 
+bool peer_network::send(link_id id, frame_kind kind, std::string body)
+{
+    return this->send(id, {kind, std::move(body), {}, 0, nullptr});
+}
+
+void peer_network::withdraw(link_id id, frame_kind kind, std::uint64_t call)
+{
+    const auto link = this->find(id);
+    if (link)
+    {
+        link->withdraw(kind, call);
+    }
+}
+
+void peer_network::resume_offers()
+{
+    std::vector<std::pair<base::time_ms, std::shared_ptr<peer_link>>> waiting;
+    this->table.with(
+        [&](auto& table)
+        {
+            for (const auto& [id, item] : table.by_id)
+            {
+                const auto since = item.link->offers_wait_since();
+                if (since)
+                {
+                    waiting.emplace_back(*since, item.link);
+                }
+            }
+        });
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto& [since, link] : waiting)
+    {
+        link->resume_offers();
+    }
+}
+
 void peer_network::send_to_all(frame_kind kind, const std::string& body)
 {
     std::vector<std::shared_ptr<peer_link>> links;
@@ -202,7 +240,7 @@
     for (const auto& link : links)
     {
         this->sent_control_bytes += frame_header_bytes + body.size();
-        link->send(kind, body, 0);
+        link->send({kind, body, {}, 0, nullptr});
     }
 }
 
@@ -229,6 +267,7 @@
                 static_cast<std::uint32_t>(body.size()),
                 0,
                 0,
+                0,
                 base::now().count,
                 this->events.links.logical_time()};
             const auto bytes = this->datagram_codec.seal(header, body);
@@ -274,20 +313,6 @@
         });
 }
 
-std::uint64_t peer_network::unwritten_bytes()
-{
-    return this->table.with(
-        [](auto& table)
-        {
-            std::uint64_t total = 0;
-            for (const auto& [id, item] : table.by_id)
-            {
-                total += item.link->unwritten_bytes();
-            }
-            return total;
-        });
-}
-
 void peer_network::set_draining(bool draining)
 {
     this->table.with([&](auto& table)
@@ -442,8 +467,10 @@
     this->events.on_datagram(
         {static_cast<frame_kind>(header.kind),
          std::move(body),
+         {},
          {0},
-         header.logical_time});
+         header.logical_time,
+         nullptr});
 }
 
 std::shared_ptr<peer_link> peer_network::make_link(
--- a/src/transport/message_codec.hpp
+++ b/src/transport/message_codec.hpp
@@ -29,25 +29,11 @@
     }
 };
 
-//! Bodies from this size on get room in the encoded text at once: its growth
-//! would copy them and hold both copies.
-inline constexpr std::size_t reserved_body_bytes = 64U << 10U;
-//! Room for the other fields of a message with such a body.
-inline constexpr std::size_t reserved_extra_bytes = 32U << 10U;
-
-//! Serializes a message generated from the schema.
+//! Serializes a message generated from the schema, without its payload.
 template <class Message>
 std::string encode(const Message& message)
 {
-    std::string room;
-    if constexpr (requires { message.body.size(); })
-    {
-        if (message.body.size() >= reserved_body_bytes)
-        {
-            room.reserve(message.body.size() + reserved_extra_bytes);
-        }
-    }
-    std::ostringstream stream(std::move(room));
+    std::ostringstream stream;
     cereal::BinaryOutputArchive archive(stream);
     // cereal uses one non-const serialize() for both directions.
     archive(const_cast<Message&>(message));
--- a/src/transport/peer_link.hpp
+++ b/src/transport/peer_link.hpp
@@ -5,6 +5,8 @@
 #include "transport/frame.hpp"
 #include "transport/frame_buffer.hpp"
 #include "transport/frame_codec.hpp"
+#include "transport/incoming_payloads.hpp"
+#include "transport/outgoing_payloads.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -15,7 +17,9 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bilberrytally::transport
@@ -62,6 +66,14 @@
         on_responsiveness_change;
     //! A received frame was rejected.
     std::function<void(frame_error)> on_rejected;
+    //! Reserves memory for what a message of a kind makes this node hold, in
+    //! bytes; null if there is no room. Without it there always is.
+    std::function<held_memory(frame_kind, std::uint64_t)> reserve;
+    //! The peer has no memory for a message, which it did not get. \p call is
+    //! the id given to send(), \p body the serialized message.
+    std::function<void(
+        link_id, frame_kind, std::uint64_t call, const std::string& body)>
+        on_declined;
     //! Returns the next time of the hybrid logical clock, to stamp a frame.
     std::function<std::uint64_t()> logical_time;
 };
@@ -83,16 +95,25 @@
     //! Takes over an accepted socket and waits for the peer's hello.
     void accept(asio::ip::tcp::socket accepted);
 
-    //! Queues a message, to be sent after the handshake. \p call is the id of
-    //! the call that it carries, 0 if none.
-    void send(frame_kind kind, std::string body, std::uint64_t call);
+    //! Queues a message, to be sent after the handshake. One with a large
+    //! payload is sent once the peer has memory for it.
+    void send(outgoing_message message);
+
+    //! Drops the message of this kind for this call, if its payload is large
+    //! and not sent completely.
+    void withdraw(frame_kind kind, std::uint64_t call);
+
+    //! Accepts what the peer has offered as far as there is memory, and
+    //! declines offers that have waited too long.
+    void resume_offers();
+
+    //! Since when the oldest offer of the peer has waited; nothing if none
+    //! waits.
+    std::optional<base::time_ms> offers_wait_since() const;
 
     //! Number of messages not yet written to the socket completely.
     std::size_t unwritten_count() const;
 
-    //! Bytes of their bodies.
-    std::uint64_t unwritten_bytes() const;
-
     //! Closes the connection; on_down follows.
     void close();
 
@@ -108,28 +129,44 @@
     void check_liveness(bool awaiting_answers);
 
 private:
-    //! A message to send; call is the id of the call it carries, 0 if none.
-    struct outgoing
+    static constexpr std::int64_t never_waiting = INT64_MAX;
+
+    //! A frame that is being written.
+    struct written_frame
     {
-        frame_kind kind;
+        header_bytes header;
         std::string body;
-        std::uint64_t call;
+        //! Owns \c data.
+        base::shared_text payload;
+        std::string_view data;
+        held_memory held;
     };
 
     void send_hello();
-    void enqueue(outgoing message);
+    void enqueue(outgoing_message message);
+    //! Queues a message of this kind about an offer.
+    void enqueue_reply(frame_kind kind, std::uint64_t offer);
     void write_next();
-    //! Moves queued messages to the batch that is written next.
+    //! Moves queued messages, and one piece of a large payload, to the batch
+    //! that is written next.
     void fill_batch();
+    void add_to_batch(frame_kind kind, written_frame frame);
     void read_next();
     void on_complete_frame(received_frame received);
     void on_hello(const received_frame& received);
     void deliver(received_frame received, base::duration_ms delay);
+    //! Handles the frames of large payloads; false for other frames.
+    bool
+    on_payload_frame(const received_frame& received, base::duration_ms delay);
+    void on_offer(const std::string& body, base::duration_ms delay);
+    void on_decline(std::uint64_t offer);
+    void on_piece(const received_frame& received);
+    void accept_offers();
+    void update_offers_wait();
+    held_memory reserve(frame_kind kind, std::uint64_t bytes) const;
     void reject(frame_error error);
     void set_unresponsive(bool unresponsive);
     void update_unwritten_count();
-    //! Removes the messages that were written.
-    void clear_batch();
     void disconnect();
 
     asio::strand<asio::io_context::executor_type> strand;
@@ -155,14 +192,15 @@
     bool reported_unresponsive{false};
     base::time_ms created_at;
     delay_meter delays;
-    std::deque<outgoing> queue;
+    std::deque<outgoing_message> queue;
+    outgoing_payloads outgoing;
+    incoming_payloads incoming;
     std::atomic<std::size_t> unwritten_messages{0};
-    std::atomic<std::uint64_t> unwritten_body_bytes{0};
-    //! Messages in write with their headers. One write takes all queued
-    //! messages, up to a bound, since each write costs a turn of the event
-    //! loop.
-    std::vector<outgoing> batch;
-    std::vector<header_bytes> batch_headers;
+    //! Milliseconds; never_waiting if no offer waits.
+    std::atomic<std::int64_t> oldest_offer{never_waiting};
+    //! One write takes all queued messages, up to a bound, since each write
+    //! costs a turn of the event loop.
+    std::vector<written_frame> batch;
     frame_buffer received;
 };
 } // namespace bilberrytally::transport
--- a/src/transport/peer_network.hpp
+++ b/src/transport/peer_network.hpp
@@ -40,10 +40,19 @@
     //! Returns the connection to a peer; starts to connect if there is none.
     link_id link_to(const peer_address& peer);
 
-    //! Queues a message. \p call is the id of the call that it carries, 0 if
-    //! none. Returns false if the connection no longer exists.
-    bool
-    send(link_id id, frame_kind kind, std::string body, std::uint64_t call = 0);
+    //! Queues a message. Returns false if the connection no longer exists.
+    bool send(link_id id, outgoing_message message);
+
+    //! Queues a message that carries no call and has no payload.
+    bool send(link_id id, frame_kind kind, std::string body);
+
+    //! Drops the message of this kind for this call, if its payload is large
+    //! and not sent completely.
+    void withdraw(link_id id, frame_kind kind, std::uint64_t call);
+
+    //! Lets the connections accept what their peers have offered as far as
+    //! there is memory now, the oldest offers first; to be called periodically.
+    void resume_offers();
 
     //! Queues a message on every established connection.
     void send_to_all(frame_kind kind, const std::string& body);
@@ -62,9 +71,6 @@
     //! to their socket completely.
     std::size_t unwritten_count();
 
-    //! Bytes of the messages on all connections that are not yet written.
-    std::uint64_t unwritten_bytes();
-
     //! Sets the draining flag in the hello of connections made from now on.
     void set_draining(bool draining);
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -13,12 +13,14 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SCALARS = {"u32": "std::uint32_t", "port": "std::uint32_t", "number": "double", "u64": "std::uint64_t", "i64": "std::int64_t",
            "bool": "bool", "string": "std::string"}
+# Fields that travel behind the serialized message, see transport/frame.hpp.
+PAYLOADS = {"payload": "std::string", "shared_payload": "base::shared_text"}
 
 
 def cpp_type(name):
     if name.startswith("list<"):
         return f"std::vector<{cpp_type(name[5:-1])}>"
-    return SCALARS.get(name, name)
+    return {**SCALARS, **PAYLOADS}.get(name, name)
 
 
 # C++ expression that initialises the member; empty for default initialisation.
@@ -27,7 +29,7 @@
     default = options.get("default")
     if kind == "string":
         return json.dumps(default) if default else ""
-    if kind.startswith("list<"):
+    if kind.startswith("list<") or kind in PAYLOADS:
         return ""
     if kind == "bool":
         return "true" if default else "false"
@@ -45,6 +47,7 @@
         field = {"name": row[0], "type": row[1], "doc": row[2],
                  "options": row[3] if len(row) > 3 else {}}
         field["cpp"] = cpp_type(field["type"])
+        field["is_payload"] = field["type"] in PAYLOADS
         field["initial"] = initial_value(field, enums)
         result_fields.append(field)
     return result_fields
