Responses over the limit: the largest is ended, also one that has stalled

What callers saw: nothing yet; a test failed.

Cause: each transfer compared itself with its equal share when it was read. One that has stalled over its share is not read any more, keeps its bytes, and the others go on up to theirs.

Change: when the limit is exceeded, the pooled client ends the largest unfinished responses until the others are within it.

--- a/src/http/internal/held_body_meter.cpp
+++ b/src/http/internal/held_body_meter.cpp
@@ -24,12 +24,21 @@
     }
 }
 
+std::uint64_t held_body_meter::allowed() const
+{
+    return this->room ? std::min(this->limit, this->room()) : this->limit;
+}
+
+bool held_body_meter::is_over() const
+{
+    return this->bytes > this->allowed();
+}
+
 bool held_body_meter::must_end(std::uint64_t own) const
 {
     const auto sharing = std::max<std::uint64_t>(this->holders, 1);
-    const auto allowed =
-        this->room ? std::min(this->limit, this->room()) : this->limit;
-    return this->bytes > allowed && own > allowed / sharing;
+    const auto most = this->allowed();
+    return this->bytes > most && own > most / sharing;
 }
 
 std::uint64_t held_body_meter::total() const
--- a/src/http/internal/held_body_meter.hpp
+++ b/src/http/internal/held_body_meter.hpp
@@ -19,6 +19,9 @@
     //! Records that a transfer holds \p after bytes, and before \p before.
     void update(std::uint64_t before, std::uint64_t after);
 
+    //! True if the limit is exceeded.
+    bool is_over() const;
+
     //! True if the limit is exceeded and a transfer that holds \p own bytes has
     //! more than an equal share of it. The largest transfer always has, so that
     //! the limit holds however many transfers there are, and small ones go on.
@@ -28,6 +31,8 @@
     std::uint64_t total() const;
 
 private:
+    std::uint64_t allowed() const;
+
     std::uint64_t limit;
     std::function<std::uint64_t()> room;
     std::atomic<std::uint64_t> bytes{0};
--- a/src/http/internal/pooled_client.cpp
+++ b/src/http/internal/pooled_client.cpp
@@ -150,11 +150,35 @@
         const auto number = ++this->last_connection;
         auto connection = std::make_shared<pooled_connection>(
             this->strand, this->limits, this->unfinished,
-            [this, number] { this->on_idle_close(number); });
+            [this, number] { this->on_idle_close(number); },
+            [this] { this->end_largest(); });
         this->connection_numbers.emplace(connection.get(), number);
         return connection;
     }
 
+    //! Ends the largest responses until the others are within the limit. One
+    //! that is not read any more does not notice the limit by itself.
+    void end_largest()
+    {
+        while (this->unfinished->is_over())
+        {
+            const auto largest = std::max_element(
+                this->transfers.begin(), this->transfers.end(),
+                [](const auto& one, const auto& other)
+                {
+                    return one.second.connection->held_bytes() <
+                           other.second.connection->held_bytes();
+                });
+            const bool is_any = largest != this->transfers.end() &&
+                                largest->second.connection->held_bytes() > 0;
+            if (!is_any)
+            {
+                return;
+            }
+            this->abort(largest->first, transfer_outcome::too_large);
+        }
+    }
+
     //! Takes the connection used most recently, so that surplus ones expire.
     //! Passes over connections that have carried a request with this id.
     connection_ptr take_idle(
--- a/src/http/internal/pooled_connection.cpp
+++ b/src/http/internal/pooled_connection.cpp
@@ -74,9 +74,11 @@
 
 pooled_connection::pooled_connection(
     const asio::any_io_executor& executor, const client_limits& limits,
-    std::shared_ptr<held_body_meter> held, idle_close_handler on_idle_close)
+    std::shared_ptr<held_body_meter> held, idle_close_handler on_idle_close,
+    over_limit_handler on_over_limit)
     : socket(executor), parser(limits.max_answer_bytes), held(std::move(held)),
-      on_idle_close(std::move(on_idle_close))
+      on_idle_close(std::move(on_idle_close)),
+      on_over_limit(std::move(on_over_limit))
 {
 }
 
@@ -211,10 +213,14 @@
         {
         case response_parser::progress::partial:
             this->update_held_bytes(this->parser.held_bytes());
-            if (this->is_over_limit())
+            if (this->has_received_too_much())
             {
                 this->close(transfer_outcome::too_large);
             }
+            else if (this->held->is_over())
+            {
+                this->on_over_limit();
+            }
             return;
         case response_parser::progress::complete:
             this->not_reusable |= !bytes.empty();
@@ -230,13 +236,17 @@
     }
 }
 
-bool pooled_connection::is_over_limit() const
+bool pooled_connection::has_received_too_much() const
 {
     const auto max_received =
         max_overhead_bytes +
         (1 + max_overhead_per_body_byte) * this->parser.current().body.size();
-    return this->received_bytes > max_received ||
-           this->held->must_end(this->own_held_bytes);
+    return this->received_bytes > max_received;
+}
+
+std::uint64_t pooled_connection::held_bytes() const
+{
+    return this->own_held_bytes;
 }
 
 void pooled_connection::update_held_bytes(std::uint64_t bytes)
--- a/src/http/internal/pooled_connection.hpp
+++ b/src/http/internal/pooled_connection.hpp
@@ -27,13 +27,16 @@
         std::function<void(transfer_outcome, response, bool reusable)>;
     //! Called when the connection closed while no request was in flight.
     using idle_close_handler = std::function<void()>;
+    //! Called when the connections hold more of unfinished responses than
+    //! allowed; ends the largest ones.
+    using over_limit_handler = std::function<void()>;
 
     //! \p held counts what all connections of a client hold of unfinished
     //! responses.
     pooled_connection(
         const asio::any_io_executor& executor, const client_limits& limits,
-        std::shared_ptr<held_body_meter> held,
-        idle_close_handler on_idle_close);
+        std::shared_ptr<held_body_meter> held, idle_close_handler on_idle_close,
+        over_limit_handler on_over_limit);
     ~pooled_connection();
 
     pooled_connection(const pooled_connection&) = delete;
@@ -58,6 +61,9 @@
     //! True if anything was received since the current request was sent.
     bool has_received() const;
 
+    //! Bytes of the unfinished response.
+    std::uint64_t held_bytes() const;
+
     //! True while the connection is being established.
     bool is_connecting() const;
 
@@ -72,8 +78,8 @@
     void on_bytes(std::string_view bytes);
     void on_read_end(bool clean_eof);
     void on_response();
-    //! True if the current response exceeds a limit.
-    bool is_over_limit() const;
+    //! True if more was received than the current response explains.
+    bool has_received_too_much() const;
     //! Counts the bytes of the unfinished response.
     void update_held_bytes(std::uint64_t bytes);
     //! True if the response carries the id of another request.
@@ -93,6 +99,7 @@
     //! Bytes received since the current request was sent.
     std::uint64_t received_bytes{0};
     idle_close_handler on_idle_close;
+    over_limit_handler on_over_limit;
     end_handler on_done;
     //! The request until it is written.
     std::string outgoing_head;
