A part of a body is no answer if the upload was not written

Cause: the kernel reports a reset once. If the write takes it, the next read sees a plain end of file, which completes an answer without a length. libcurl ends such a transfer with success as well.

Change: an end without length after a failed or unfinished write completes nothing, in both clients.

--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -251,8 +251,9 @@
         if (code == CURLE_OK)
         {
             // libcurl reports success if the connection ends within the head.
-            return item.head_complete ? transfer_outcome::answered
-                                      : transfer_outcome::broken;
+            return item.head_complete && !may_be_cut(item)
+                       ? transfer_outcome::answered
+                       : transfer_outcome::broken;
         }
         if (item.too_large)
         {
@@ -268,6 +269,20 @@
                                                 : transfer_outcome::broken;
     }
 
+    //! True if the end of the connection ended the response while the request
+    //! was still being sent: the connection may have been reset.
+    static bool may_be_cut(const transfer& item)
+    {
+        curl_off_t uploaded = 0;
+        curl_easy_getinfo(item.handle, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+        const auto& headers = item.received.headers;
+        const bool is_framed =
+            !find_header(headers, "content-length").empty() ||
+            !find_header(headers, "transfer-encoding").empty();
+        return !is_framed && static_cast<std::size_t>(uploaded) <
+                                 item.request.content.body.size();
+    }
+
     void finish(transfer& item, transfer_outcome outcome)
     {
         transfer_result result;
--- a/src/http/internal/pooled_connection.cpp
+++ b/src/http/internal/pooled_connection.cpp
@@ -161,6 +161,7 @@
         [self](std::error_code error, std::size_t)
         {
             self->writing = false;
+            self->write_failed |= static_cast<bool>(error);
             self->outgoing_head.clear();
             self->outgoing_body = {};
             if (error && !self->is_closed && !self->reading)
@@ -257,8 +258,11 @@
 
 void pooled_connection::on_read_end(bool clean_eof)
 {
+    // The system reports a reset once: if writing has met it, reading meets a
+    // plain end.
+    const bool is_end = clean_eof && !this->writing && !this->write_failed;
     const bool completed =
-        clean_eof && this->on_done &&
+        is_end && this->on_done &&
         this->parser.end() == response_parser::progress::complete;
     if (completed && !this->is_for_other_request(this->parser.current()))
     {
--- a/src/http/internal/pooled_connection.hpp
+++ b/src/http/internal/pooled_connection.hpp
@@ -112,6 +112,8 @@
     bool connecting{false};
     bool connected{false};
     bool writing{false};
+    //! The connection failed while the request was written.
+    bool write_failed{false};
     bool may_have_sent{false};
     bool reading{false};
     bool not_reusable{false};
