One rule for what an answer is

What callers saw: answers with status 600, with blanks or control bytes in the names of fields, two codings or misframed chunks were passed on as 200 (MIXED); status 000, 099, 20 and 101 ended in 504 after the whole time-out.

Cause: http_parser, which is not built strict, accepts what is no HTTP/1.1, and each status under 200 counted as interim. The libcurl client read names as they came.

Change: response_parser is built on Boost.Beast's parser and checks the status, the version, codings and folded lines itself. The libcurl client (store, tickets, administration) checks heads and trailers by the same rule. What is none ends the transfer at once.

--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http/http_client.hpp"
 #include "http/internal/held_body_meter.hpp"
+#include "http/internal/response_parser.hpp"
 
 #include <asio/dispatch.hpp>
 #include <asio/ip/tcp.hpp>
@@ -41,8 +42,12 @@
     //! How often libcurl has been about to send the request.
     unsigned sends{0};
     bool too_large{false};
-    //! The blank line after the headers of the last response was read.
+    //! Lines of the head that is being received.
+    std::string head;
+    //! The last head was read to its end.
     bool head_complete{false};
+    //! The server has sent what is no response.
+    bool malformed{false};
     class curl_client* owner{nullptr};
 };
 
@@ -468,29 +473,47 @@
             item.too_large = true;
             return 0;
         }
-        if (line.starts_with("HTTP/"))
+        const bool starts_head = line.starts_with("HTTP/");
+        if (item.head_complete && !starts_head)
         {
-            item.received.headers.clear();
+            item.malformed |= !is_trailer(line);
+        }
+        else
+        {
+            add_head_line(item, line, starts_head);
+        }
+        return item.malformed ? 0 : line.size();
+    }
+
+    static void
+    add_head_line(transfer& item, std::string_view line, bool starts_head)
+    {
+        if (starts_head)
+        {
+            item.head.clear();
             item.head_complete = false;
-            return line.size();
         }
-        item.head_complete |= line == "\r\n" || line == "\n";
-        const auto colon = line.find(':');
-        if (colon == std::string_view::npos)
+        item.head.append(line);
+        if (line != "\r\n" && line != "\n")
         {
-            return line.size();
+            return;
+        }
+        // libcurl accepts more than what is well-formed.
+        auto parsed = parse_response_head(item.head);
+        item.malformed |= !parsed;
+        item.head_complete = parsed.has_value();
+        if (parsed)
+        {
+            item.received.headers = std::move(parsed->headers);
         }
-        std::string name(line.substr(0, colon));
-        std::transform(
-            name.begin(), name.end(), name.begin(),
-            [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        const auto first = line.find_first_not_of(" \t", colon + 1);
-        const auto last = line.find_last_not_of(" \t\r\n");
-        const bool blank = first == std::string_view::npos || first > last;
-        item.received.headers.push_back(
-            {std::move(name),
-             blank ? "" : std::string(line.substr(first, last - first + 1))});
-        return line.size();
+    }
+
+    static bool is_trailer(std::string_view line)
+    {
+        std::string head = "HTTP/1.1 200 OK\r\n";
+        head.append(line);
+        head.append(line == "\r\n" ? "" : "\r\n");
+        return parse_response_head(head).has_value();
     }
 
     static std::size_t
--- a/src/http/internal/response_parser.cpp
+++ b/src/http/internal/response_parser.cpp
@@ -1,187 +1,291 @@
 #include "http/internal/response_parser.hpp"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
 #include <algorithm>
 #include <cctype>
+#include <optional>
 #include <utility>
 
 namespace bilberrytally::http
 {
 namespace
 {
-//! Responses below this status (1xx) are interim; the final one follows.
-constexpr unsigned first_final_status = 200;
-//! Responses with these have no body, whatever length they state (RFC 9110).
-constexpr unsigned no_content_status = 204;
-constexpr unsigned not_modified_status = 304;
+namespace beast = boost::beast;
+using beast::http::error;
 
-response_parser& self_of(http_parser* parser)
-{
-    return *static_cast<response_parser*>(parser->data);
-}
+//! Largest head of a response.
+constexpr std::uint32_t max_head_bytes = 1U << 20U;
+constexpr int lowest_status = 100;
+constexpr int highest_status = 599;
+//! Responses below this status (1xx) are interim; the final one follows.
+constexpr std::uint32_t first_final_status = 200;
+//! Never requested, so that it answers nothing.
+constexpr int switching_protocols_status = 101;
+constexpr std::string_view chunked_coding = "chunked";
+constexpr int version_1_1 = 11;
 } // namespace
 
-response_parser::response_parser(std::uint64_t max_body_bytes)
-    : max_body_bytes(max_body_bytes)
+//! Collects one response, interim or final.
+class message_parser : public beast::http::basic_parser<false>
 {
-    this->begin(false);
-}
+public:
+    message_parser(std::uint64_t max_body_bytes, bool head_request)
+        : max_body_bytes(max_body_bytes)
+    {
+        this->skip(head_request);
+        this->header_limit(max_head_bytes);
+        this->body_limit(boost::none);
+    }
 
-void response_parser::begin(bool head_request)
-{
-    http_parser_init(&this->parser, HTTP_RESPONSE);
-    this->parser.data = this;
-    this->parsed = {};
-    this->head_bytes = 0;
-    this->header_name.clear();
-    this->header_value.clear();
-    this->header_value_seen = false;
-    this->head_request = head_request;
-    this->complete = false;
-    this->oversized = false;
-    this->keep_alive = false;
-}
+    //! Parses the head, or what there is of the body; returns the number of
+    //! bytes used.
+    std::size_t parse(std::string_view input, beast::error_code& problem)
+    {
+        const bool in_head = !this->is_header_done();
+        this->eager(!in_head);
+        const auto used =
+            this->put(boost::asio::buffer(input.data(), input.size()), problem);
+        if (in_head && has_folded_line(input.substr(0, used)))
+        {
+            problem = error::bad_field;
+        }
+        return used;
+    }
 
-response_parser::progress response_parser::feed(std::string_view& bytes)
-{
-    const auto used = http_parser_execute(
-        &this->parser, &callbacks(), bytes.data(), bytes.size());
-    bytes.remove_prefix(std::min(used, bytes.size()));
-    return this->state();
-}
+    response parsed;
+    std::uint64_t head_bytes{0};
 
-response_parser::progress response_parser::end()
-{
-    http_parser_execute(&this->parser, &callbacks(), nullptr, 0);
-    const auto result = this->state();
-    return result == progress::partial ? progress::malformed : result;
-}
+private:
+    //! A folded line is obsolete, and hides fields from servers that do not
+    //! know it.
+    static bool has_folded_line(std::string_view head)
+    {
+        return head.find("\n ") != std::string_view::npos ||
+               head.find("\n\t") != std::string_view::npos;
+    }
 
-response_parser::progress response_parser::state() const
-{
-    if (this->complete)
+    void on_request_impl(
+        beast::http::verb, beast::string_view, beast::string_view, int,
+        beast::error_code&) override
     {
-        return progress::complete;
     }
-    if (this->oversized)
+
+    void on_response_impl(
+        int code, beast::string_view, int version,
+        beast::error_code& problem) override
     {
-        return progress::too_large;
+        if (code < lowest_status || code > highest_status ||
+            code == switching_protocols_status)
+        {
+            problem = error::bad_status;
+            return;
+        }
+        this->version = version;
+        this->parsed.status = static_cast<std::uint32_t>(code);
     }
-    const auto error = HTTP_PARSER_ERRNO(&this->parser);
-    return error == HPE_OK ? progress::partial : progress::malformed;
-}
 
-std::uint64_t response_parser::held_bytes() const
-{
-    return this->head_bytes + this->parsed.body.size();
-}
+    void on_field_impl(
+        beast::http::field field, beast::string_view name,
+        beast::string_view value, beast::error_code& problem) override
+    {
+        if (this->head_complete)
+        {
+            // Trailers are checked, but not used.
+            return;
+        }
+        const bool is_unknown_coding =
+            field == beast::http::field::transfer_encoding &&
+            (!beast::iequals(value, chunked_coding) ||
+             this->version != version_1_1);
+        if (is_unknown_coding)
+        {
+            problem = error::bad_transfer_encoding;
+            return;
+        }
+        schema::header header{
+            std::string(name.data(), name.size()),
+            std::string(value.data(), value.size())};
+        std::transform(
+            header.name.begin(), header.name.end(), header.name.begin(),
+            [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        this->head_bytes +=
+            sizeof(header) + header.name.size() + header.value.size();
+        this->parsed.headers.push_back(std::move(header));
+    }
 
-response response_parser::take()
+    void on_header_impl(beast::error_code&) override
+    {
+        this->head_complete = true;
+    }
+
+    void on_body_init_impl(
+        const boost::optional<std::uint64_t>&, beast::error_code&) override
+    {
+    }
+
+    std::size_t
+    on_body_impl(beast::string_view data, beast::error_code& problem) override
+    {
+        return this->add_body(data, problem);
+    }
+
+    void on_chunk_header_impl(
+        std::uint64_t, beast::string_view, beast::error_code&) override
+    {
+    }
+
+    std::size_t on_chunk_body_impl(
+        std::uint64_t, beast::string_view data,
+        beast::error_code& problem) override
+    {
+        return this->add_body(data, problem);
+    }
+
+    void on_finish_impl(beast::error_code&) override
+    {
+    }
+
+    std::size_t add_body(beast::string_view data, beast::error_code& problem)
+    {
+        if (data.size() > this->max_body_bytes - this->parsed.body.size())
+        {
+            problem = error::body_limit;
+            return 0;
+        }
+        this->parsed.body.append(data.data(), data.size());
+        return data.size();
+    }
+
+    std::uint64_t max_body_bytes;
+    int version{0};
+    bool head_complete{false};
+};
+
+response_parser::response_parser(std::uint64_t max_body_bytes)
+    : max_body_bytes(max_body_bytes)
 {
-    return std::exchange(this->parsed, {});
+    this->begin(false);
 }
 
-const response& response_parser::current() const
+response_parser::~response_parser() = default;
+
+void response_parser::begin(bool head_request)
 {
-    return this->parsed;
+    this->head_request = head_request;
+    this->pending.clear();
+    this->begin_message();
 }
 
-bool response_parser::keeps_connection() const
+void response_parser::begin_message()
 {
-    return this->keep_alive;
+    this->current_message = std::make_unique<message_parser>(
+        this->max_body_bytes, this->head_request);
 }
 
-void response_parser::flush_header()
+response_parser::progress response_parser::feed(std::string_view& bytes)
 {
-    if (this->header_name.empty())
+    std::string_view input = bytes;
+    const bool continues = !this->pending.empty();
+    if (continues)
+    {
+        this->pending.append(bytes);
+        input = this->pending;
+    }
+    const auto result = this->parse(input);
+    if (result != progress::partial)
+    {
+        // What is left was received last.
+        bytes.remove_prefix(
+            bytes.size() - std::min(bytes.size(), input.size()));
+        this->pending.clear();
+        return result;
+    }
+    bytes = {};
+    if (continues)
+    {
+        this->pending.erase(0, this->pending.size() - input.size());
+    }
+    else
     {
-        return;
+        this->pending.assign(input);
     }
-    this->head_bytes += sizeof(schema::header) + this->header_name.size() +
-                        this->header_value.size();
-    this->parsed.headers.push_back(
-        {std::exchange(this->header_name, {}),
-         std::exchange(this->header_value, {})});
-    this->header_value_seen = false;
+    return result;
 }
 
-int response_parser::on_field(
-    http_parser* parser, const char* data, size_t size)
+response_parser::progress response_parser::parse(std::string_view& input)
 {
-    auto& self = self_of(parser);
-    if (self.header_value_seen)
+    while (!input.empty())
     {
-        self.flush_header();
+        beast::error_code problem;
+        const auto used = this->current_message->parse(input, problem);
+        input.remove_prefix(used);
+        if (problem == error::need_more)
+        {
+            return progress::partial;
+        }
+        if (problem == error::body_limit || problem == error::header_limit)
+        {
+            return progress::too_large;
+        }
+        if (problem)
+        {
+            return progress::malformed;
+        }
+        if (!this->current_message->is_done())
+        {
+            continue;
+        }
+        if (this->current().status >= first_final_status)
+        {
+            return progress::complete;
+        }
+        this->begin_message();
     }
-    for (const unsigned char c : std::string_view(data, size))
+    return progress::partial;
+}
+
+response_parser::progress response_parser::end()
+{
+    if (!this->pending.empty() || !this->current_message->got_some())
     {
-        self.header_name += static_cast<char>(std::tolower(c));
+        return progress::malformed;
     }
-    return 0;
+    beast::error_code problem;
+    this->current_message->put_eof(problem);
+    return !problem && this->current_message->is_done() ? progress::complete
+                                                        : progress::malformed;
 }
 
-int response_parser::on_value(
-    http_parser* parser, const char* data, size_t size)
+std::uint64_t response_parser::held_bytes() const
 {
-    auto& self = self_of(parser);
-    self.header_value_seen = true;
-    self.header_value.append(data, size);
-    return 0;
+    return this->current_message->head_bytes + this->current().body.size() +
+           this->pending.size();
 }
 
-int response_parser::on_headers(http_parser* parser)
+response response_parser::take()
 {
-    auto& self = self_of(parser);
-    self.flush_header();
-    self.parsed.status = parser->status_code;
-    const bool without_body = self.head_request ||
-                              parser->status_code == no_content_status ||
-                              parser->status_code == not_modified_status;
-    // Returning 1 tells http_parser that no body follows.
-    return without_body ? 1 : 0;
+    return std::exchange(this->current_message->parsed, {});
 }
 
-int response_parser::on_body(http_parser* parser, const char* data, size_t size)
+const response& response_parser::current() const
 {
-    auto& self = self_of(parser);
-    if (self.parsed.body.size() + size > self.max_body_bytes)
-    {
-        self.oversized = true;
-        return 1;
-    }
-    self.parsed.body.append(data, size);
-    return 0;
+    return this->current_message->parsed;
 }
 
-int response_parser::on_complete(http_parser* parser)
+bool response_parser::keeps_connection() const
 {
-    auto& self = self_of(parser);
-    if (parser->status_code < first_final_status)
-    {
-        self.parsed = {};
-        self.head_bytes = 0;
-        return 0;
-    }
-    self.flush_header();
-    self.complete = true;
-    self.keep_alive = http_should_keep_alive(parser) != 0;
-    // Stops parsing, since bytes after the response are not part of it.
-    http_parser_pause(parser, 1);
-    return 0;
+    return this->current_message->keep_alive();
 }
 
-const http_parser_settings& response_parser::callbacks()
+std::optional<response> parse_response_head(std::string_view head)
 {
-    static const http_parser_settings settings = []
-    {
-        http_parser_settings callbacks;
-        http_parser_settings_init(&callbacks);
-        callbacks.on_header_field = on_field;
-        callbacks.on_header_value = on_value;
-        callbacks.on_headers_complete = on_headers;
-        callbacks.on_body = on_body;
-        callbacks.on_message_complete = on_complete;
-        return callbacks;
-    }();
-    return settings;
+    // As a response to HEAD, which ends with its head.
+    message_parser parser(0, true);
+    beast::error_code problem;
+    const auto used = parser.parse(head, problem);
+    const bool is_whole = !problem && parser.is_done() && used == head.size();
+    return is_whole ? std::optional(std::move(parser.parsed)) : std::nullopt;
 }
 } // namespace bilberrytally::http
--- a/src/http/internal/response_parser.hpp
+++ b/src/http/internal/response_parser.hpp
@@ -2,16 +2,19 @@
 
 #include "http/http_types.hpp"
 
-#include <http_parser.h>
-
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace bilberrytally::http
 {
-//! Parses the responses on one connection, one after the other, with the
-//! http_parser library. Header names are converted to lower case.
+class message_parser;
+
+//! Parses the responses on one connection, one after the other, and rejects
+//! what is not well-formed HTTP/1.1 (RFC 9112). Header names are converted to
+//! lower case.
 class response_parser
 {
 public:
@@ -25,6 +28,7 @@
     };
 
     explicit response_parser(std::uint64_t max_body_bytes);
+    ~response_parser();
 
     response_parser(const response_parser&) = delete;
     response_parser& operator=(const response_parser&) = delete;
@@ -51,27 +55,18 @@
     bool keeps_connection() const;
 
 private:
-    static int on_field(http_parser* parser, const char* data, size_t size);
-    static int on_value(http_parser* parser, const char* data, size_t size);
-    static int on_headers(http_parser* parser);
-    static int on_body(http_parser* parser, const char* data, size_t size);
-    static int on_complete(http_parser* parser);
-    static const http_parser_settings& callbacks();
+    void begin_message();
+    //! Parses what the input holds of the current message.
+    progress parse(std::string_view& input);
 
-    progress state() const;
-    //! Adds the header field parsed last to the response.
-    void flush_header();
-
-    http_parser parser{};
     std::uint64_t max_body_bytes;
-    response parsed;
-    std::uint64_t head_bytes{0};
-    std::string header_name;
-    std::string header_value;
-    bool header_value_seen{false};
     bool head_request{false};
-    bool complete{false};
-    bool oversized{false};
-    bool keep_alive{false};
+    std::unique_ptr<message_parser> current_message;
+    //! Received bytes of an incomplete line or head.
+    std::string pending;
 };
+
+//! Parses the head of a response, interim or final, from the status line to the
+//! empty line. Nothing if it is not well-formed.
+std::optional<response> parse_response_head(std::string_view head);
 } // namespace bilberrytally::http
