Requests that can be read in two ways are not handled

What callers saw: fields with a blank before their colon were passed on to targets (Transfer-Encoding, Connection, the fields that the node sets), so that a request could hide in a body, and a client could name its caller service (UNASKED). Two Host fields were accepted.

Cause: http_parser accepts blanks and control bytes in names; rules that strip or set a field compare names exactly.

Change: the parser's callbacks check that names are tokens, one Host at most, chunked as the only coding and not beside a length, HTTP/1.0 or 1.1. Anything else closes the connection.

--- a/src/http/internal/counting_parser.hpp
+++ b/src/http/internal/counting_parser.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/internal/account_service.hpp"
+#include "http/internal/request_rule.hpp"
 
 #include <restinio/all.hpp>
 
@@ -30,6 +31,9 @@
 //! once, since growth would copy it: memory not yet written to is not resident.
 constexpr std::size_t growing_body_bytes = 1U << 20U;
 
+//! Returned by a callback to reject the request and close the connection.
+constexpr int malformed_request = -1;
+
 //! The room for a body of known length up to this size comes from the heap,
 //! where it may be resident before it is written to.
 constexpr std::uint64_t heap_body_bytes = 256U << 10U;
@@ -65,6 +69,10 @@
 inline int on_field(http_parser* parser, const char* data, std::size_t size)
 {
     const auto& context = context_of(parser);
+    if (!is_token_part({data, size}))
+    {
+        return malformed_request;
+    }
     if (context.m_leading_headers_completed)
     {
         return 0;
@@ -83,8 +91,24 @@
     return restinio::impl::restinio_header_value_cb(parser, data, size);
 }
 
+inline bool has_unambiguous_head(http_parser* parser)
+{
+    request_head_check check;
+    context_of(parser).m_header.for_each_field(
+        [&](const auto& field)
+        { check.add_field(field.name(), field.value()); });
+    const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    const bool is_known_version =
+        parser->http_major == 1 && parser->http_minor <= 1;
+    return is_known_version && check.is_unambiguous(has_length);
+}
+
 inline int on_headers_complete(http_parser* parser)
 {
+    if (!has_unambiguous_head(parser))
+    {
+        return malformed_request;
+    }
     if (auto* connection = connection_scope::current())
     {
         connection->begin_body();
