Answers of the target's side, datagrams and head lines in files of their own

Change: moved without change of behaviour: target_side_answers.cpp (refusals and answers), peer_network_datagrams.cpp, response_head_reader (the lines of a head, as libcurl passes them).

--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -1,6 +1,6 @@
 #include "http/http_client.hpp"
 #include "http/internal/held_body_meter.hpp"
-#include "http/internal/response_parser.hpp"
+#include "http/internal/response_head_reader.hpp"
 
 #include <asio/dispatch.hpp>
 #include <asio/ip/tcp.hpp>
@@ -9,7 +9,6 @@
 #include <asio/strand.hpp>
 
 #include <algorithm>
-#include <cctype>
 #include <curl/curl.h>
 #include <map>
 #include <unordered_map>
@@ -24,8 +23,6 @@
 constexpr long max_idle_s = 2;
 //! libcurl handles kept for later transfers.
 constexpr std::size_t max_pooled_handles = 256;
-//! Limit of the heads and trailers of a response.
-constexpr std::uint64_t max_head_bytes = 256U << 10U;
 
 //! A transfer in progress.
 struct transfer
@@ -37,17 +34,11 @@
     transfer_handler on_done;
     response received;
     std::uint64_t held_bytes{0};
-    //! Of all heads, interim ones included, and of trailers.
-    std::uint64_t received_head_bytes{0};
     //! How often libcurl has been about to send the request.
     unsigned sends{0};
     bool too_large{false};
-    //! Lines of the head that is being received.
-    std::string head;
-    //! The last head was read to its end.
-    bool head_complete{false};
-    //! The server has sent what is no response.
-    bool malformed{false};
+    //! libcurl accepts more than what is well-formed.
+    response_head_reader head;
     class curl_client* owner{nullptr};
 };
 
@@ -256,7 +247,7 @@
         if (code == CURLE_OK)
         {
             // libcurl reports success if the connection ends within the head.
-            return item.head_complete && !may_be_cut(item)
+            return item.head.is_complete() && !may_be_cut(item)
                        ? transfer_outcome::answered
                        : transfer_outcome::broken;
         }
@@ -280,7 +271,7 @@
     {
         curl_off_t uploaded = 0;
         curl_easy_getinfo(item.handle, CURLINFO_SIZE_UPLOAD_T, &uploaded);
-        const auto& headers = item.received.headers;
+        const auto& headers = item.head.headers();
         const bool is_framed =
             !find_header(headers, "content-length").empty() ||
             !find_header(headers, "transfer-encoding").empty();
@@ -299,6 +290,7 @@
         constexpr double ms_per_s = 1000;
         result.duration_ms = seconds * ms_per_s;
         result.content = std::move(item.received);
+        result.content.headers = item.head.headers();
         result.content.status = static_cast<std::uint32_t>(status);
         auto on_done = std::move(item.on_done);
         curl_multi_remove_handle(this->multi, item.handle);
@@ -467,53 +459,9 @@
     {
         auto& item = *static_cast<transfer*>(user);
         const std::string_view line(data, size * count);
-        item.received_head_bytes += line.size();
-        if (item.received_head_bytes > max_head_bytes)
-        {
-            item.too_large = true;
-            return 0;
-        }
-        const bool starts_head = line.starts_with("HTTP/");
-        if (item.head_complete && !starts_head)
-        {
-            item.malformed |= !is_trailer(line);
-        }
-        else
-        {
-            add_head_line(item, line, starts_head);
-        }
-        return item.malformed ? 0 : line.size();
-    }
-
-    static void
-    add_head_line(transfer& item, std::string_view line, bool starts_head)
-    {
-        if (starts_head)
-        {
-            item.head.clear();
-            item.head_complete = false;
-        }
-        item.head.append(line);
-        if (line != "\r\n" && line != "\n")
-        {
-            return;
-        }
-        // libcurl accepts more than what is well-formed.
-        auto parsed = parse_response_head(item.head);
-        item.malformed |= !parsed;
-        item.head_complete = parsed.has_value();
-        if (parsed)
-        {
-            item.received.headers = std::move(parsed->headers);
-        }
-    }
-
-    static bool is_trailer(std::string_view line)
-    {
-        std::string head = "HTTP/1.1 200 OK\r\n";
-        head.append(line);
-        head.append(line == "\r\n" ? "" : "\r\n");
-        return parse_response_head(head).has_value();
+        const bool goes_on = item.head.add_line(line);
+        item.too_large |= item.head.is_too_large();
+        return goes_on ? line.size() : 0;
     }
 
     static std::size_t
--- a/src/transport/internal/peer_network.cpp
+++ b/src/transport/internal/peer_network.cpp
@@ -1,8 +1,8 @@
 #include "transport/peer_network.hpp"
 
 #include "base/hash.hpp"
+#include "transport/internal/peer_endpoint.hpp"
 
-#include <asio/ip/address.hpp>
 #include <asio/post.hpp>
 
 #include <algorithm>
@@ -13,23 +13,12 @@
 {
 namespace
 {
-//! Largest datagram, including the frame header: below the usual MTU of 1500
-//! bytes.
-constexpr std::size_t max_datagram_bytes = 1400;
 //! Accepted connections that may be without a complete handshake at a time.
 //! For each one more, the oldest of them is closed.
 constexpr std::size_t max_handshakes = 256;
 //! Pause after a connection could not be accepted, for example since no
 //! descriptor is left.
 constexpr std::chrono::milliseconds accept_pause{50};
-
-template <class Protocol>
-typename Protocol::endpoint
-endpoint_of(const peer_address& address, std::error_code& error)
-{
-    const auto ip = asio::ip::make_address(address.host, error);
-    return {ip, static_cast<std::uint16_t>(address.port)};
-}
 } // namespace
 
 peer_network::peer_network(
@@ -244,40 +233,6 @@
     }
 }
 
-void peer_network::send_datagram(
-    const peer_address& peer, frame_kind kind, const std::string& body)
-{
-    std::error_code error;
-    const auto endpoint = endpoint_of<asio::ip::udp>(peer, error);
-    const bool partitioned = this->table.with(
-        [&](auto& table)
-        { return table.partitioned_ports.count(peer.port) != 0; });
-    if (error || partitioned ||
-        body.size() + frame_header_bytes > max_datagram_bytes)
-    {
-        return;
-    }
-    this->sent_control_bytes += frame_header_bytes + body.size();
-    asio::post(
-        this->datagram_strand,
-        [this, endpoint, kind, body]
-        {
-            const frame_header header{
-                static_cast<std::uint32_t>(kind),
-                static_cast<std::uint32_t>(body.size()),
-                0,
-                0,
-                0,
-                base::now().count,
-                this->events.links.logical_time()};
-            const auto bytes = this->datagram_codec.seal(header, body);
-            const std::array<asio::const_buffer, 2> buffers{
-                asio::buffer(bytes), asio::buffer(body)};
-            std::error_code ignored;
-            this->datagrams.send_to(buffers, endpoint, 0, ignored);
-        });
-}
-
 void peer_network::check_liveness(const std::set<link_id>& awaiting_answers)
 {
     std::vector<std::pair<link_id, std::shared_ptr<peer_link>>> links;
@@ -415,64 +370,6 @@
     link->accept(std::move(accepted));
 }
 
-void peer_network::receive_next()
-{
-    this->datagrams.async_receive_from(
-        asio::buffer(this->datagram_buffer), this->datagram_sender,
-        [this](std::error_code error, std::size_t length)
-        {
-            if (error == asio::error::operation_aborted)
-            {
-                return;
-            }
-            if (!error)
-            {
-                this->on_datagram(length);
-            }
-            this->receive_next();
-        });
-}
-
-void peer_network::on_datagram(std::size_t length)
-{
-    const auto port = this->datagram_sender.port();
-    const bool partitioned = this->table.with(
-        [&](auto& table) { return table.partitioned_ports.count(port) != 0; });
-    if (partitioned)
-    {
-        return;
-    }
-    header_bytes header_part{};
-    frame_header header;
-    if (length < header_part.size())
-    {
-        this->events.links.on_rejected(frame_error::garbage);
-        return;
-    }
-    std::copy_n(
-        this->datagram_buffer.begin(), header_part.size(), header_part.begin());
-    std::string body = this->datagram_buffer.substr(
-        header_part.size(), length - header_part.size());
-    auto problem =
-        frame_codec::parse_header(header_part, max_datagram_bytes, header);
-    if (problem == frame_error::none)
-    {
-        problem = this->datagram_codec.verify(header_part, body);
-    }
-    if (problem != frame_error::none)
-    {
-        this->events.links.on_rejected(problem);
-        return;
-    }
-    this->events.on_datagram(
-        {static_cast<frame_kind>(header.kind),
-         std::move(body),
-         {},
-         {0},
-         header.logical_time,
-         nullptr});
-}
-
 std::shared_ptr<peer_link> peer_network::make_link(
     link_table& table, const peer_address& address, link_id id)
 {
--- a/src/transport/peer_network.hpp
+++ b/src/transport/peer_network.hpp
@@ -88,6 +88,10 @@
     std::uint64_t control_bytes() const;
 
 private:
+    //! Largest datagram, including the frame header: below the usual MTU of
+    //! 1500 bytes.
+    static constexpr std::size_t max_datagram_bytes = 1400;
+
     //! A connection and its state; established once the handshake is complete.
     struct link_entry
     {
