--- a/src/http/tests/pipelining_test.cpp
+++ b/src/http/tests/pipelining_test.cpp
@@ -1,4 +1,4 @@
-#include "http/http_server.hpp"
+#include "http/tests/opened_server.hpp"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/ip/tcp.hpp>
@@ -30,20 +30,25 @@
     holding_server() : work(asio::make_work_guard(this->context))
     {
         this->worker = std::thread([this] { this->context.run(); });
-        // Any free port: the first one that can be opened.
         constexpr std::uint32_t first_port = 23100;
-        constexpr std::uint32_t last_port = 23200;
-        for (auto port = first_port; port < last_port && !this->server; ++port)
-        {
-            this->try_open(port);
-        }
-        REQUIRE(this->server);
+        this->opened = http::open_on_free_port(
+            this->context, first_port,
+            [this](std::uint64_t, http::request request, http::respond respond)
+            {
+                const std::scoped_lock lock(this->mutex);
+                this->held.emplace(request.target, std::move(respond));
+            },
+            [this](std::uint64_t)
+            {
+                const std::scoped_lock lock(this->mutex);
+                ++this->closed;
+            });
     }
 
     ~holding_server()
     {
         this->held.clear();
-        this->server->close();
+        this->opened.server->close();
         this->work.reset();
         this->context.stop();
         this->worker.join();
@@ -80,37 +85,10 @@
 
     std::uint32_t port() const
     {
-        return this->open_port;
+        return this->opened.port;
     }
 
 private:
-    void try_open(std::uint32_t port)
-    {
-        http::server_settings settings;
-        settings.address = "127.0.0.1";
-        settings.port = port;
-        settings.max_body_bytes = 1000;
-        settings.max_header_bytes = 1000;
-        settings.read_timeout = {10000};
-        auto opened = http::http_server::open(
-            this->context, settings,
-            [this](std::uint64_t, http::request request, http::respond respond)
-            {
-                const std::scoped_lock lock(this->mutex);
-                this->held.emplace(request.target, std::move(respond));
-            },
-            [this](std::uint64_t)
-            {
-                const std::scoped_lock lock(this->mutex);
-                ++this->closed;
-            });
-        if (opened)
-        {
-            this->server = std::move(opened.value());
-            this->open_port = port;
-        }
-    }
-
     template <class Condition>
     bool wait(Condition condition)
     {
@@ -135,8 +113,7 @@
     std::mutex mutex;
     std::map<std::string, http::respond> held;
     int closed{0};
-    std::uint32_t open_port{0};
-    std::unique_ptr<http::http_server> server;
+    http::opened_server opened;
 };
 
 //! A caller that sends several requests at once and reads the responses.
--- a/src/http/tests/request_rule_test.cpp
+++ b/src/http/tests/request_rule_test.cpp
@@ -1,4 +1,4 @@
-#include "http/http_server.hpp"
+#include "http/tests/opened_server.hpp"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/ip/tcp.hpp>
@@ -8,7 +8,6 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
-#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -34,39 +33,22 @@
     counting_server() : work(asio::make_work_guard(this->context))
     {
         this->worker = std::thread([this] { this->context.run(); });
-        // Any free port: the first one that can be opened.
         constexpr std::uint32_t first_port = 23200;
-        constexpr std::uint32_t last_port = 23300;
-        for (auto port = first_port; port < last_port && !this->server; ++port)
-        {
-            http::server_settings settings;
-            settings.address = "127.0.0.1";
-            settings.port = port;
-            settings.max_body_bytes = 1000;
-            settings.max_header_bytes = 1000;
-            settings.read_timeout = {10000};
-            auto opened = http::http_server::open(
-                this->context, settings,
-                [this](auto, const auto&, const auto& respond)
-                {
-                    ++this->count;
-                    http::response response;
-                    response.close = true;
-                    respond(std::move(response));
-                },
-                nullptr);
-            if (opened)
+        this->opened = http::open_on_free_port(
+            this->context, first_port,
+            [this](auto, const auto&, const auto& respond)
             {
-                this->server = std::move(opened.value());
-                this->port = port;
-            }
-        }
-        REQUIRE(this->server);
+                ++this->count;
+                http::response response;
+                response.close = true;
+                respond(std::move(response));
+            },
+            nullptr);
     }
 
     ~counting_server()
     {
-        this->server->close();
+        this->opened.server->close();
         this->work.reset();
         this->context.stop();
         this->worker.join();
@@ -82,7 +64,7 @@
         tcp::socket socket(client);
         socket.connect(
             {asio::ip::make_address("127.0.0.1"),
-             static_cast<std::uint16_t>(this->port)});
+             static_cast<std::uint16_t>(this->opened.port)});
         asio::write(socket, asio::buffer(bytes));
         std::string received;
         std::error_code end;
@@ -100,8 +82,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> work;
     std::thread worker;
     std::atomic<int> count{0};
-    std::uint32_t port{0};
-    std::unique_ptr<http::http_server> server;
+    http::opened_server opened;
 };
 
 const std::string start = "POST /1 HTTP/1.1\r\nhost: h\r\n";
--- a/src/transport/internal/outgoing_payloads.cpp
+++ b/src/transport/internal/outgoing_payloads.cpp
@@ -11,11 +11,6 @@
 constexpr std::size_t piece_bytes = 64U << 10U;
 } // namespace
 
-std::uint64_t outgoing_message::sent_call() const
-{
-    return this->kind == frame_kind::call ? this->call : 0;
-}
-
 schema::payload_offer outgoing_payloads::add(outgoing_message message)
 {
     schema::payload_offer offer;
--- a/src/transport/internal/peer_link.cpp
+++ b/src/transport/internal/peer_link.cpp
@@ -158,7 +158,7 @@
                 self->ping_pending_since = now;
                 if (self->established)
                 {
-                    self->enqueue({frame_kind::ping, {}, {}, 0, nullptr});
+                    self->enqueue(outgoing_message::plain(frame_kind::ping));
                 }
             }
         });
@@ -167,7 +167,7 @@
 void peer_link::send_hello()
 {
     this->queue.push_front(
-        {frame_kind::hello, encode(this->local_hello), {}, 0, nullptr});
+        outgoing_message::plain(frame_kind::hello, encode(this->local_hello)));
     this->write_next();
 }
 
@@ -188,7 +188,8 @@
     if (message.payload.size() > max_inline_payload_bytes)
     {
         const auto offer = this->outgoing.add(std::move(message));
-        message = {frame_kind::payload_offer, encode(offer), {}, 0, nullptr};
+        message =
+            outgoing_message::plain(frame_kind::payload_offer, encode(offer));
     }
     this->queue.push_back(std::move(message));
     this->write_next();
@@ -197,7 +198,8 @@
 
 void peer_link::enqueue_reply(frame_kind kind, std::uint64_t offer)
 {
-    this->enqueue({kind, encode(schema::payload_reply{offer}), {}, 0, nullptr});
+    this->enqueue(
+        outgoing_message::plain(kind, encode(schema::payload_reply{offer})));
 }
 
 std::size_t peer_link::unwritten_count() const
@@ -396,7 +398,7 @@
     const auto kind = static_cast<frame_kind>(received.header.kind);
     if (kind == frame_kind::ping)
     {
-        this->enqueue({frame_kind::pong, {}, {}, 0, nullptr});
+        this->enqueue(outgoing_message::plain(frame_kind::pong));
         return;
     }
     if (kind == frame_kind::pong || this->on_payload_frame(received, delay))
--- a/src/transport/internal/peer_network.cpp
+++ b/src/transport/internal/peer_network.cpp
@@ -178,7 +178,7 @@
 
 bool peer_network::send(link_id id, frame_kind kind, std::string body)
 {
-    return this->send(id, {kind, std::move(body), {}, 0, nullptr});
+    return this->send(id, outgoing_message::plain(kind, std::move(body)));
 }
 
 void peer_network::withdraw(link_id id, frame_kind kind, std::uint64_t call)
@@ -229,7 +229,7 @@
     for (const auto& link : links)
     {
         this->sent_control_bytes += frame_header_bytes + body.size();
-        link->send({kind, body, {}, 0, nullptr});
+        link->send(outgoing_message::plain(kind, body));
     }
 }
 
--- a/src/transport/outgoing_payloads.hpp
+++ b/src/transport/outgoing_payloads.hpp
@@ -2,7 +2,7 @@
 
 #include "base/shared_text.hpp"
 #include "schema/messages.hpp"
-#include "transport/frame.hpp"
+#include "transport/outgoing_message.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,22 +15,6 @@
 
 namespace bilberrytally::transport
 {
-//! A message to be sent to a peer.
-struct outgoing_message
-{
-    frame_kind kind{frame_kind::hello};
-    //! The serialized message without its payload.
-    std::string body;
-    base::shared_text payload;
-    //! Id of the call that a call or an answer carries; 0 for none.
-    std::uint64_t call{0};
-    //! Memory that is held until the message is written; may be null.
-    held_memory held;
-
-    //! Id of the call that this message sends; 0 if it sends none.
-    std::uint64_t sent_call() const;
-};
-
 //! The messages of a connection whose payload is too large for one frame, on
 //! the sending side. Each is offered to the peer, and sent piece by piece once
 //! the peer has accepted it, one after the other.
