Unfinished responses count in the account of memory

Cause: found in the last read of the change: nothing told the account of the backend server's unfinished responses, and those that wait for other nodes were allowed the same room once more, so that responses could hold twice their share.

Change: the account asks the client for them; what waits is taken off their room, of which a small part is left in any case.

--- a/src/decisions/internal/memory_shares.cpp
+++ b/src/decisions/internal/memory_shares.cpp
@@ -43,6 +43,11 @@
 {
 }
 
+std::uint64_t memory_shares::least_share() const
+{
+    return this->machine_bytes / least_share_divisor;
+}
+
 bool memory_shares::is_hardly_used(std::uint64_t bytes) const
 {
     return bytes <= this->machine_bytes / hardly_used_divisor;
@@ -58,8 +63,7 @@
     const auto for_all = this->machine_bytes / all_uses_divisor;
     const auto left = for_all - std::min(for_all, others);
     return std::clamp(
-        left, this->machine_bytes / least_share_divisor,
-        this->machine_bytes / one_use_divisor);
+        left, this->least_share(), this->machine_bytes / one_use_divisor);
 }
 
 bool memory_shares::has_room(
--- a/src/decisions/memory_shares.hpp
+++ b/src/decisions/memory_shares.hpp
@@ -37,6 +37,9 @@
     //! \p machine_bytes is the memory of the machine; 0 for no limit.
     explicit memory_shares(std::uint64_t machine_bytes);
 
+    //! What each use keeps whatever the others hold.
+    std::uint64_t least_share() const;
+
     //! Most that may be held for a use beside what is held for the others.
     std::uint64_t room(memory_use use, const held_bytes& held) const;
 
--- a/src/node/internal/memory_account.cpp
+++ b/src/node/internal/memory_account.cpp
@@ -2,6 +2,7 @@
 
 #include "http/http_server.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace bilberrytally::node
@@ -53,9 +54,13 @@
             }};
 }
 
-std::uint64_t memory_account::room(memory_use use) const
+std::uint64_t memory_account::room_for_unfinished_responses() const
 {
-    return this->shares.room(use, this->held());
+    // Those that wait for other nodes have the same share. Something is left
+    // all the same, so that small responses go on.
+    const std::uint64_t waiting = this->counted->responses;
+    const auto room = this->shares.room(memory_use::responses, this->held());
+    return std::max(room - std::min(room, waiting), this->shares.least_share());
 }
 
 bool memory_account::allows_large_client() const
--- a/src/node/internal/memory_account.hpp
+++ b/src/node/internal/memory_account.hpp
@@ -33,8 +33,8 @@
     //! Holds memory that is needed in any case.
     transport::held_memory hold(decisions::memory_use use, std::uint64_t bytes);
 
-    //! Most that may be held for a use now.
-    std::uint64_t room(decisions::memory_use use) const;
+    //! Most that the backend server's unfinished responses may hold now.
+    std::uint64_t room_for_unfinished_responses() const;
 
     //! True if one client may hold more than the share of all clients. Takes no
     //! lock.
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -51,7 +51,7 @@
 {
     auto limits = response_limits(tables.settings);
     limits.room_for_responses = [&memory = tables.memory]
-    { return memory.room(decisions::memory_use::responses); };
+    { return memory.room_for_unfinished_responses(); };
     return tables.settings.platform.store.empty()
                ? http::http_client::make(tables.context, limits)
                : http::http_client::make_pooled(tables.context, limits);
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -50,6 +50,8 @@
     : tables(tables), client(std::move(client)), monitor(tables, *this->client),
       inbound(tables.settings.node.slots, tables.variant)
 {
+    tables.memory.set_unfinished_responses(
+        [this] { return this->client->held_bytes(); });
 }
 
 void target_side::set_network(
