--- a/review/11/case.py
+++ b/review/11/case.py
@@ -8,8 +8,8 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 PLACEMENTS = [("old", "a", 20), ("old", "b", 20), ("new", "a", 20), ("new", "b", 20)]
-LOST_CHANGES = 8  # versions in quick succession, at most one each 0.3 s
-COPY_AGE_S = 3
+LOST_CHANGES = 8  # versions in quick succession, one each 0.33 s (glue-alerts: `config_storm`)
+COPY_AGE_S = 4
 AWAY_S = 0.5
 CALM_S = 5  # from the store's return to the next change: more than contact-s
 # Later than this after the acknowledgement nothing may follow the older version only. The store
@@ -50,7 +50,7 @@
     await asyncio.sleep(3)
     for number in range(1, LOST_CHANGES + 1):
         fleet.configure(paths("old", number))
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(0.33)
     if TROUBLE:
         store.go_away()
         await asyncio.sleep(AWAY_S)
--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -100,10 +100,16 @@
         self.copies = []  # (time, items, history, revision), before each change
         self.changed = asyncio.Event()
         self.writers = set()
+        self.called_at = {}  # number of the machine: when its node last sent a call
+        self.servers = []
 
-    async def open(self, host):
-        self.server = await asyncio.start_server(self.serve, host, 0)
-        self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
+    async def open(self, host, number):
+        """Returns the address for the calls of one node, to tell the nodes apart."""
+        async def serve(reader, writer):
+            await self.serve(reader, writer, number)
+
+        self.servers.append(await asyncio.start_server(serve, host, 0))
+        return f"{host}:{self.servers[-1].sockets[0].getsockname()[1]}"
 
     def wake(self):
         self.changed.set()
@@ -150,10 +156,11 @@
         self.away = False
         self.record.say(f"store: back as era {self.era}, from a copy at revision {self.revision}")
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, number):
         self.writers.add(writer)
         try:
             while head := await read_head(reader):
+                self.called_at[number] = time.monotonic()
                 if self.away:
                     break
                 era = self.era
@@ -280,7 +287,7 @@
         self.target = Target(fleet.record, self.host, self.instance, service, slots)
         self.file = fleet.folder / f"node-{number}.conf"
         self.log = fleet.folder / f"node-{number}.log"
-        self.process = None
+        self.process = self.store_address = None
 
     def start(self):
         fleet = self.fleet
@@ -289,7 +296,7 @@
             "ip": self.host, "app-address": f"{self.host}:{self.target.port}",
             "bind-addresses": {name: f"{self.host}:{port}" for name, port in fleet.ports.items()},
             "bounds": BOUNDS, "limits": {"memory-mb": 260, "max-fds": 4100},
-            "provider": {"address": fleet.store.address, "reads-per-s": 2000}}
+            "provider": {"address": self.store_address, "reads-per-s": 2000}}
         self.file.write_text(render(fleet.template, fields))
         command = [str(self.file) if word == "/etc/bilberrytally/node.conf" else word
                    for word in fleet.command]
@@ -378,8 +385,8 @@
                          for number, placement in enumerate(placements)]
 
     async def start(self, paths):
-        await self.store.open(f"{self.network}.250")
         for machine in self.machines:
+            machine.store_address = await self.store.open(f"{self.network}.250", machine.number)
             await machine.target.open()
         for machine in self.machines:
             machine.start()
