--- a/review/14/case.py
+++ b/review/limit_after_restart.py
@@ -1,13 +1,18 @@
-"""A node is killed and started again while the target beside it names a Server-Limit."""
+"""A node is killed and started again while the target beside it names a Server-Limit.
+
+No case, as RULES.md has no rule LIMIT (see REPORT-3.md); exits like one: 1 if the rule of the news
+page was broken, 0 if it held, 2 if the script couldn't run. With TROUBLE=0 nothing is killed.
+"""
 import asyncio
 import pathlib
 import signal
 import sys
+import tempfile
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from fleet3 import BOUNDS, ID, TIMEOUT, TROUBLE, CannotRun, Client, main, route  # noqa: E402
 
-FOLDER = pathlib.Path(__file__).resolve().parent
+FOLDER = pathlib.Path(tempfile.mkdtemp(prefix="review-3-record-"))
 # Requests begin at nodes 0, 1 and 2; the target of "busy" is beside node 3.
 PLACEMENTS = [("own", "a", 20), ("own", "b", 20), ("own", "c", 20), ("busy", "a", 55)]
 LIMIT_PER_S = 4
