--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -222,10 +222,14 @@
         self.server = await asyncio.start_server(self.serve, self.host, 0, backlog=512)
         self.port = self.server.sockets[0].getsockname()[1]
 
-    def stop(self):
+    async def start_again(self, down_s):
+        """Ends, and starts again at the same address; knows nothing of before."""
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
+        self.extra_headers.clear()
+        await asyncio.sleep(down_s)
+        self.server = await asyncio.start_server(self.serve, self.host, self.port, backlog=512)
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -273,7 +277,8 @@
         finally:
             del self.at_work[request]
         self.record.add(f"target {self.instance}: answers {request}")
-        return message("HTTP/1.1 200 OK", {**own, SIGNATURE: "sig." + self.instance},
+        return message("HTTP/1.1 200 OK",
+                       {**own, **self.extra_headers, SIGNATURE: "sig." + self.instance},
                        self.instance.encode())
 
 
@@ -288,6 +293,7 @@
         self.file = fleet.folder / f"node-{number}.conf"
         self.log = fleet.folder / f"node-{number}.log"
         self.process = self.store_address = None
+        self.born = fleet.born
 
     def start(self):
         fleet = self.fleet
@@ -312,7 +318,7 @@
         self.process.send_signal(number)
 
     def entry(self, phase="ready", warm_up=0):
-        return {"address": f"{self.host}:{self.target.port}", "born": self.fleet.born,
+        return {"address": f"{self.host}:{self.target.port}", "born": self.born,
                 "info": {"service": self.service, "version": "v1", "zone": self.zone,
                          "slots": self.target.slots},
                 "status": {"phase": phase, "sequence": 1, "warmup-left-s": warm_up}}
