--- a/review/13/case.py
+++ b/review/13/case.py
@@ -10,7 +10,10 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 # More than 16 nodes: only some of them watch the store, and tell the others.
 PLACEMENTS = [(service, zone, 20) for service in ("own", "busy") for zone in "abc" * 3]
-LOST_CHANGES = 8  # versions in quick succession, one each 0.33 s (glue-alerts: `config_storm`)
+# These targets have run for long; the others, and those of "own", have just started.
+OLD = range(9, 18, 2)
+HEARTBEAT_S = 1.5  # DEPLOY.md: heartbeat-s
+WARM_UP_S = 9  # from the first entry; the nodes are ready and all targets known 3 to 4 s after it
 COPY_AGE_S = 4
 AWAY_S = 0.5
 CALM_S = 6  # from the store's return to the target's report: more than contact-s
@@ -20,11 +23,12 @@
 async def play(fleet):
     record, store = fleet.record, fleet.store
 
-    def paths(number=0):
-        """/n/ changes its time-out with each version."""
-        return [route("/b/", "busy"), route("/n/", "own", timeout=3 + number / 10)]
-
-    await fleet.start(paths())
+    young = [machine for machine in fleet.machines if machine.number not in OLD]
+    for machine in young:
+        machine.warm_up_left_s = WARM_UP_S
+    for number in OLD:
+        fleet.machines[number].born -= 3600000
+    await fleet.start([route("/b/", "busy")])
     sent_at = {}  # request: when, and at which node
 
     async def traffic(machine):
@@ -43,22 +47,25 @@
             await asyncio.sleep(0.2)
 
     load = [asyncio.create_task(traffic(machine)) for machine in fleet.machines]
-    await asyncio.sleep(3)
-    for number in range(1, LOST_CHANGES + 1):
-        fleet.configure(paths(number))
-        await asyncio.sleep(0.33)
+    # A target writes its entry at each heartbeat; it changes while the warm-up time in it does.
+    for beats_left in range(int(COPY_AGE_S / HEARTBEAT_S) + 1, -1, -1):
+        for machine in young:
+            machine.warm_up_left_s = beats_left * HEARTBEAT_S
+            machine.register()
+        await asyncio.sleep(HEARTBEAT_S if beats_left else AWAY_S)
     if TROUBLE:
         store.go_away()
         await asyncio.sleep(AWAY_S)
         store.come_back(COPY_AGE_S)
-        # Of the operator and the targets only the operator has lost something: it writes its
-        # newest version again.
-        store.put("op/config", fleet.configuration(paths(LOST_CHANGES)))
+        # The operator and all targets write their newest state again.
+        store.put("op/config", fleet.configuration([route("/b/", "busy")]))
+        for machine in fleet.machines:
+            machine.register()
     else:
         await asyncio.sleep(AWAY_S)
     await asyncio.sleep(CALM_S)
-    quiet = [machine for machine in fleet.machines if machine.service == "busy"
-             and time.monotonic() - store.called_at.get(machine.number, 0) > 2.5]
+    quiet = [fleet.machines[number] for number in OLD
+             if time.monotonic() - store.called_at.get(number, 0) > 2.5]
     if not quiet:
         raise CannotRun("all nodes watch the store")
     leaving = quiet[0]
--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -293,7 +293,7 @@
         self.file = fleet.folder / f"node-{number}.conf"
         self.log = fleet.folder / f"node-{number}.log"
         self.process = self.store_address = None
-        self.born = fleet.born
+        self.born, self.warm_up_left_s = fleet.born, 0
 
     def start(self):
         fleet = self.fleet
@@ -317,11 +317,11 @@
         self.fleet.record.say(f"node {self.number}: {signal.Signals(number).name}")
         self.process.send_signal(number)
 
-    def entry(self, phase="ready", warm_up=0):
+    def entry(self, phase="ready"):
         return {"address": f"{self.host}:{self.target.port}", "born": self.born,
                 "info": {"service": self.service, "version": "v1", "zone": self.zone,
                          "slots": self.target.slots},
-                "status": {"phase": phase, "sequence": 1, "warmup-left-s": warm_up}}
+                "status": {"phase": phase, "sequence": 1, "warmup-left-s": self.warm_up_left_s}}
 
     def register(self, **fields):
         return self.fleet.store.put(f"servers/{self.instance}", self.entry(**fields))
