Revisions of the store carry its epoch, so that a restored store is followed

Cause: revision numbers go back when the store is restored. fleet_view::merge dropped what the store wrote since at lower numbers; the known revision never fell, so that digests announced the old one and nodes that do not watch asked for nothing. One cause, two places; the same on the watch's resumption, on claims of freshness and in changes_after.

Change: schema::store_revision (epoch, number) replaces every bare revision that is kept, compared or sent. The epoch is read from all answers of the store. What a view knows from before a return is believed until it is written again or a limit ends (docs/design/restored-store.md). Digests carry the version of the configuration, so that a node that starts on the backup learns the one in force. The version of the frames is raised.

Lists now state the revision that they follow.

--- a/src/decisions/internal/view_freshness.cpp
+++ b/src/decisions/internal/view_freshness.cpp
@@ -10,8 +10,13 @@
 constexpr std::size_t max_open_claims = 8;
 } // namespace
 
-void view_freshness::on_claim(std::uint64_t revision, base::time_ms asked_at)
+void view_freshness::on_claim(
+    const schema::store_revision& revision, base::time_ms asked_at)
 {
+    if (revision.epoch < this->complete_revision.epoch)
+    {
+        return;
+    }
     if (revision > this->complete_revision)
     {
         const auto position =
@@ -26,14 +31,17 @@
     this->proof = std::max(this->proof.value_or(asked_at), asked_at);
 }
 
-void view_freshness::on_revision(std::uint64_t revision)
+void view_freshness::on_revision(const schema::store_revision& revision)
 {
     this->complete_revision = std::max(this->complete_revision, revision);
     while (!this->open_claims.empty() &&
            this->open_claims.begin()->first <= this->complete_revision)
     {
-        const auto asked_at = this->open_claims.begin()->second;
-        this->proof = std::max(this->proof.value_or(asked_at), asked_at);
+        const auto& [claimed, asked_at] = *this->open_claims.begin();
+        if (claimed.epoch == this->complete_revision.epoch)
+        {
+            this->proof = std::max(this->proof.value_or(asked_at), asked_at);
+        }
         this->open_claims.erase(this->open_claims.begin());
     }
 }
--- a/src/decisions/tests/access_test.cpp
+++ b/src/decisions/tests/access_test.cpp
@@ -77,29 +77,45 @@
 {
     view_freshness freshness;
     CHECK_FALSE(freshness.proven_at());
-    freshness.on_claim(10, {1000});
+    freshness.on_claim({1, 10}, {1000});
     CHECK_FALSE(freshness.proven_at());
-    freshness.on_revision(9);
+    freshness.on_revision({1, 9});
     CHECK_FALSE(freshness.proven_at());
-    freshness.on_revision(10);
+    freshness.on_revision({1, 10});
     CHECK(freshness.proven_at() == base::time_ms{1000});
     // An older claim that arrives late proves nothing new.
-    freshness.on_claim(8, {900});
+    freshness.on_claim({1, 8}, {900});
     CHECK(freshness.proven_at() == base::time_ms{1000});
-    freshness.on_claim(10, {1200});
+    freshness.on_claim({1, 10}, {1200});
     CHECK(freshness.proven_at() == base::time_ms{1200});
 }
 
+// Guards against access keys that are accepted as current on the word of a
+// store that has been restored since.
+TEST_CASE("a claim counts only within the epoch of the copy")
+{
+    view_freshness freshness;
+    freshness.on_revision({1, 100});
+    // The restored store is behind the copy in numbers, not in epochs.
+    freshness.on_claim({2, 40}, {1000});
+    CHECK_FALSE(freshness.proven_at());
+    freshness.on_claim({1, 200}, {1100});
+    freshness.on_revision({2, 40});
+    CHECK(freshness.proven_at() == base::time_ms{1000});
+    freshness.on_claim({1, 100}, {1200});
+    CHECK(freshness.proven_at() == base::time_ms{1000});
+}
+
 TEST_CASE("claims of revisions that never arrive take bounded memory")
 {
     view_freshness freshness;
     for (std::uint64_t revision = 1; revision <= 100; ++revision)
     {
         freshness.on_claim(
-            revision, {static_cast<std::int64_t>(revision) * 10});
+            {1, revision}, {static_cast<std::int64_t>(revision) * 10});
     }
-    freshness.on_revision(92);
+    freshness.on_revision({1, 92});
     CHECK_FALSE(freshness.proven_at());
-    freshness.on_revision(100);
+    freshness.on_revision({1, 100});
     CHECK(freshness.proven_at() == base::time_ms{1000});
 }
--- a/src/decisions/view_freshness.hpp
+++ b/src/decisions/view_freshness.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "schema/store_revision.hpp"
 
 #include <cstdint>
 #include <map>
@@ -12,16 +13,18 @@
 //! that the store had no revision above the given one when it was asked. It
 //! becomes a proof once the copy is complete up to that revision: everything
 //! that the store had acknowledged before it was asked is then known here.
+//! A claim of an older epoch than the copy's proves nothing.
 //! Times of claims are on this node's own monotonic clock.
 class view_freshness
 {
 public:
     //! Records that the store, asked at \p asked_at, had \p revision as its
     //! newest one.
-    void on_claim(std::uint64_t revision, base::time_ms asked_at);
+    void
+    on_claim(const schema::store_revision& revision, base::time_ms asked_at);
 
     //! Records that the copy is complete up to \p revision.
-    void on_revision(std::uint64_t revision);
+    void on_revision(const schema::store_revision& revision);
 
     //! When the store was asked for the newest state that the copy is proven
     //! to hold; nothing before the first proof.
@@ -29,8 +32,8 @@
 
 private:
     //! Newest claim of each revision that the copy does not reach yet.
-    std::map<std::uint64_t, base::time_ms> open_claims;
-    std::uint64_t complete_revision{0};
+    std::map<schema::store_revision, base::time_ms> open_claims;
+    schema::store_revision complete_revision;
     std::optional<base::time_ms> proof;
 };
 } // namespace bilberrytally::decisions
--- a/src/directory/internal/fleet_view.cpp
+++ b/src/directory/internal/fleet_view.cpp
@@ -8,6 +8,11 @@
 {
 namespace
 {
+//! For this long after a restore the view prefers its newer knowledge of a
+//! target. Targets that run write their entries again within it, and those that
+//! have ended leave the store as they miss three heartbeats.
+constexpr base::duration_ms outdated_limit{10000};
+
 void add_service(view_change& change, const std::string& service)
 {
     auto& names = change.services;
@@ -27,16 +32,122 @@
 fleet_view::merge(const schema::published_item& item, base::time_ms now)
 {
     view_change change;
-    auto& state = this->item_states[item.key];
-    if (state.item.revision >= item.revision)
+    this->begin_state(item.revision, now);
+    if (item.revision.epoch < this->epoch_start.epoch)
+    {
+        this->merge_old_epoch(item, change);
+        return change;
+    }
+    if (this->knows(item))
     {
         return change;
     }
+    const auto decoded = this->decode(item);
+    if (this->is_replaced(decoded))
+    {
+        // Peers that ask for the complete state get the version in force.
+        return change;
+    }
+    auto& state = this->item_states[item.key];
+    const auto* report = std::get_if<target_entry>(&decoded);
+    const bool outdated = report && this->is_outdated(state, item, *report);
     state.item = item;
-    this->apply_item(state, this->decode(item), now, change);
+    state.outdated_until.reset();
+    if (outdated)
+    {
+        state.outdated_until = this->end_of_outdated(state, *report);
+        return change;
+    }
+    this->apply_item(state, decoded, now, change);
     return change;
 }
 
+bool fleet_view::knows(const schema::published_item& item) const
+{
+    const auto known = this->item_states.find(item.key);
+    return known != this->item_states.end() &&
+           item.revision <= known->second.item.revision;
+}
+
+bool fleet_view::is_replaced(const decoded_item& decoded) const
+{
+    const auto* candidate = std::get_if<fleet_configuration>(&decoded);
+    return candidate && this->current_configuration &&
+           candidate->version < this->current_configuration->version;
+}
+
+view_change fleet_view::merge_from_peer(
+    const schema::published_item& item, base::time_ms now)
+{
+    const bool was_removed = item.revision <= this->complete_revision &&
+                             !this->item_states.contains(item.key);
+    return was_removed ? view_change{} : this->merge(item, now);
+}
+
+void fleet_view::begin_state(
+    const schema::store_revision& revision, base::time_ms now)
+{
+    if (revision.epoch <= this->epoch_start.epoch)
+    {
+        return;
+    }
+    this->epoch_start = revision;
+    if (!this->item_states.empty())
+    {
+        this->restored_at = now;
+        this->store_regained = now;
+    }
+}
+
+void fleet_view::merge_old_epoch(
+    const schema::published_item& item, view_change& change)
+{
+    const auto decoded = this->decode(item);
+    const auto* configuration = std::get_if<fleet_configuration>(&decoded);
+    if (configuration == nullptr)
+    {
+        return;
+    }
+    this->apply_configuration(*configuration, change);
+    if (change.configuration_changed)
+    {
+        this->item_states[item.key].item = item;
+    }
+}
+
+bool fleet_view::is_outdated(
+    const item_state& known, const schema::published_item& item,
+    const target_entry& report) const
+{
+    const bool may_be_from_backup =
+        this->restored_at && item.revision <= this->epoch_start &&
+        known.item.revision.epoch < item.revision.epoch;
+    if (!may_be_from_backup || !known.last_report)
+    {
+        return false;
+    }
+    if (report.position() != *known.last_report)
+    {
+        return report.position() < *known.last_report;
+    }
+    const bool known_to_leave =
+        !known.target || known.target->phase == target_phase::draining;
+    return known_to_leave && report.phase == target_phase::ready;
+}
+
+base::time_ms fleet_view::end_of_outdated(
+    const item_state& known, const target_entry& report) const
+{
+    // A process that drains never becomes ready again.
+    const bool same_process =
+        report.started_at_ms != 0 &&
+        report.started_at_ms == known.last_report->started_at_ms;
+    const bool drains =
+        known.target && known.target->phase == target_phase::draining;
+    return same_process && drains ? base::time_ms{INT64_MAX}
+                                  : *this->restored_at + outdated_limit;
+}
+
 void fleet_view::apply_item(
     item_state& state, const decoded_item& decoded, base::time_ms now,
     view_change& change)
@@ -75,6 +186,7 @@
 void fleet_view::apply_target(
     item_state& state, const target_entry& target, view_change& change)
 {
+    state.last_report = target.position();
     this->set_target(state, target, change);
 }
 
@@ -143,10 +255,15 @@
 }
 
 view_change fleet_view::end_snapshot(
-    const std::vector<std::string>& keys, std::uint64_t revision,
-    base::time_ms now)
+    const std::vector<std::string>& keys,
+    const schema::store_revision& revision, base::time_ms now)
 {
     view_change change;
+    this->begin_state(revision, now);
+    if (revision.epoch < this->epoch_start.epoch)
+    {
+        return change;
+    }
     const std::set<std::string> listed(keys.begin(), keys.end());
     for (auto& [key, state] : this->item_states)
     {
@@ -156,13 +273,42 @@
             state.item.value.clear();
             state.item.removed = true;
             state.item.revision = revision;
+            state.outdated_until.reset();
             this->apply_removal(state, now, change);
         }
     }
-    this->advance(revision);
+    const auto old_epoch = this->complete_revision.epoch;
+    this->complete_state(revision);
+    if (this->restored_at && old_epoch < revision.epoch)
+    {
+        change.restore = this->summarize_restore(old_epoch, revision);
+    }
     return change;
 }
 
+void fleet_view::complete_state(const schema::store_revision& revision)
+{
+    const bool first_of_epoch = this->complete_revision.number == 0 ||
+                                this->complete_revision.epoch < revision.epoch;
+    if (first_of_epoch)
+    {
+        this->first_revision = revision;
+    }
+    this->complete_revision = std::max(this->complete_revision, revision);
+}
+
+restore_summary fleet_view::summarize_restore(
+    std::uint64_t old_epoch, const schema::store_revision& revision) const
+{
+    restore_summary summary{old_epoch, revision};
+    for (const auto& [key, state] : this->item_states)
+    {
+        summary.missing += state.removed_until ? 1 : 0;
+        summary.outdated += state.outdated_until ? 1 : 0;
+    }
+    return summary;
+}
+
 void fleet_view::on_store_regained(
     base::time_ms now, std::uint32_t failed_calls)
 {
@@ -181,6 +327,11 @@
         {
             this->set_target(state, std::nullopt, change);
         }
+        if (state.outdated_until && *state.outdated_until <= now)
+        {
+            state.outdated_until.reset();
+            this->apply_item(state, this->decode(state.item), now, change);
+        }
     }
     return change;
 }
@@ -235,23 +386,25 @@
     return this->keys_by_address.size();
 }
 
-std::uint64_t fleet_view::revision() const
+schema::store_revision fleet_view::revision() const
 {
     return this->complete_revision;
 }
 
-void fleet_view::advance(std::uint64_t revision)
+void fleet_view::advance(const schema::store_revision& revision)
 {
-    if (this->complete_revision == 0)
+    const bool same_epoch = revision.epoch == this->complete_revision.epoch;
+    if (same_epoch || this->complete_revision.number == 0)
     {
-        this->first_revision = revision;
+        this->complete_state(revision);
     }
-    this->complete_revision = std::max(this->complete_revision, revision);
 }
 
-schema::item_list fleet_view::changes_after(std::uint64_t revision) const
+schema::item_list
+fleet_view::changes_after(const schema::store_revision& revision) const
 {
     schema::item_list list;
+    list.after = revision;
     list.revision = this->complete_revision;
     list.complete = revision < this->first_revision;
     for (const auto& [key, state] : this->item_states)
@@ -269,7 +422,10 @@
 {
     if (!list.complete)
     {
-        this->advance(list.revision);
+        if (list.after <= this->complete_revision)
+        {
+            this->advance(list.revision);
+        }
         return {};
     }
     std::vector<std::string> keys;
--- a/src/directory/internal/store_watcher.cpp
+++ b/src/directory/internal/store_watcher.cpp
@@ -25,6 +25,8 @@
         return "refused";
     case store_failure::unavailable:
         return "unavailable";
+    case store_failure::outdated:
+        return "outdated";
     case store_failure::unreadable:
         return "unreadable";
     }
@@ -94,10 +96,11 @@
     this->snapshot_keys.clear();
 }
 
-void store_watcher::resume(std::uint64_t revision)
+void store_watcher::resume(const schema::store_revision& revision)
 {
     this->paused = false;
     this->revision = std::max(this->revision, revision);
+    this->follow_epoch(revision.epoch);
 }
 
 bool store_watcher::is_paused() const
@@ -115,17 +118,53 @@
     this->next_call = {INT64_MIN / 2};
 }
 
+bool store_watcher::follow_epoch(std::uint64_t stated)
+{
+    if (stated <= this->epoch)
+    {
+        return false;
+    }
+    this->epoch = stated;
+    return true;
+}
+
+bool store_watcher::is_outdated(const store_page& page)
+{
+    if (page.revision.epoch >= this->epoch)
+    {
+        return false;
+    }
+    this->on_failure(
+        {store_failure::outdated,
+         "response of epoch " + std::to_string(page.revision.epoch) +
+             " in epoch " + std::to_string(this->epoch)});
+    return true;
+}
+
 void store_watcher::on_page(const store_result& result)
 {
     this->call_in_flight = false;
     const auto* page = std::get_if<store_page>(&result);
     if (page == nullptr)
     {
-        this->on_failure(std::get<store_error>(result));
+        const auto& error = std::get<store_error>(result);
+        this->follow_epoch(error.epoch);
+        this->on_failure(error);
+        return;
+    }
+    if (this->is_outdated(*page))
+    {
         return;
     }
     this->on_success(base::now());
-    if (this->last_page_key.empty())
+    const bool is_first_page = this->last_page_key.empty();
+    if (this->follow_epoch(page->revision.epoch) && !is_first_page)
+    {
+        // The pages before it are of another epoch.
+        this->restart();
+        return;
+    }
+    if (is_first_page)
     {
         // Items may change while the pages are read one after another. The
         // watch that follows starts at the revision of the first page and so
@@ -133,6 +172,7 @@
         this->snapshot_revision = page->revision;
         this->snapshot_asked_at = this->asked_at;
         this->snapshot_keys.clear();
+        this->events.on_snapshot_begin(page->revision);
     }
     for (const auto& item : page->items)
     {
@@ -159,16 +199,28 @@
     if (changes == nullptr)
     {
         const auto& error = std::get<store_error>(result);
+        const bool restored = this->follow_epoch(error.epoch);
         if (error.failure == store_failure::history_gone)
         {
             this->on_success(base::now());
             this->restart();
             return;
         }
+        this->snapshot_due = this->snapshot_due || restored;
         this->on_failure(error);
         return;
     }
+    if (this->is_outdated(*changes))
+    {
+        return;
+    }
     this->on_success(base::now());
+    if (this->follow_epoch(changes->revision.epoch))
+    {
+        // The changes are those after a revision of another epoch.
+        this->restart();
+        return;
+    }
     if (!changes->items.empty())
     {
         this->next_call = base::now() + this->batch_interval;
--- a/src/directory/store_client.hpp
+++ b/src/directory/store_client.hpp
@@ -12,13 +12,14 @@
 
 namespace bilberrytally::directory
 {
-//! Items returned by one call, with the store's revision at that time.
+//! Items returned by one call, with the store's revision at that time. All are
+//! of the epoch of that revision.
 struct store_page
 {
     std::vector<schema::published_item> items;
     //! More items follow after the last key of this page.
     bool has_more{false};
-    std::uint64_t revision{0};
+    schema::store_revision revision;
 
     bool operator==(const store_page&) const = default;
 };
@@ -29,6 +30,7 @@
     history_gone, //!< The store dropped changes since the watch's revision.
     refused,      //!< The store responded that it does not serve the call now.
     unavailable,  //!< No complete response.
+    outdated,     //!< A response of an epoch before the newest known one.
     unreadable, //!< An unexpected status, or a body that is not in the store's
                 //!< format.
 };
@@ -42,6 +44,8 @@
     store_failure failure{store_failure::unavailable};
     //! For log lines.
     std::string detail;
+    //! Epoch that the response states; 0 if it states none.
+    std::uint64_t epoch{0};
 
     bool operator==(const store_error&) const = default;
 };
@@ -61,9 +65,11 @@
     virtual void read(const std::string& after_key, on_store_result done) = 0;
 
     //! Returns the changes after \p revision. If there are none yet, the store
-    //! holds the call for up to \p wait (a long poll).
+    //! holds the call for up to \p wait (a long poll). The store knows the
+    //! number of the revision alone; the epoch of the result tells whether it
+    //! was meant.
     virtual void watch(
-        std::uint64_t revision, base::duration_ms wait,
+        const schema::store_revision& revision, base::duration_ms wait,
         on_store_result done) = 0;
 };
 } // namespace bilberrytally::directory
--- a/src/directory/store_watcher.hpp
+++ b/src/directory/store_watcher.hpp
@@ -15,17 +15,22 @@
 //! Callbacks from a watcher to its owner.
 struct watcher_events
 {
+    //! A snapshot begins; \p revision is that of its first page.
+    std::function<void(const schema::store_revision& revision)>
+        on_snapshot_begin;
     //! The store returned an item, as part of a snapshot or as a change.
     std::function<void(const schema::published_item&)> on_item;
     //! A snapshot (a read of all items) is complete: the keys of all items and
     //! the store's revision at the first page.
-    std::function<void(const std::vector<std::string>&, std::uint64_t)>
+    std::function<void(
+        const std::vector<std::string>&, const schema::store_revision&)>
         on_snapshot;
     //! All changes up to \p revision have been passed to on_item.
-    std::function<void(std::uint64_t revision)> on_advanced;
+    std::function<void(const schema::store_revision& revision)> on_advanced;
     //! The store, asked at \p asked_at, had no revision above \p revision;
     //! all changes up to it have been passed to on_item.
-    std::function<void(std::uint64_t revision, base::time_ms asked_at)>
+    std::function<void(
+        const schema::store_revision& revision, base::time_ms asked_at)>
         on_current;
     //! A call failed after one that succeeded.
     std::function<void(const store_error&)> on_lost;
@@ -39,8 +44,10 @@
 
 //! Follows the items of a store: reads a snapshot of all items, then watches
 //! for changes. It reads a new snapshot if the store has dropped the changes
-//! since the last known revision. After a failed call it waits for a backoff
-//! with jitter. The owner calls tick(), which starts the next call.
+//! since the last known revision, or if it was restored from a backup (a new
+//! epoch). Results of an older epoch than the newest one that any response
+//! stated have arrived late and are dropped. After a failed call it waits for a
+//! backoff with jitter. The owner calls tick(), which starts the next call.
 class store_watcher
 {
 public:
@@ -59,7 +66,7 @@
     //! Abandons the call in flight and starts no other until resume().
     void pause();
     //! Continues after \p revision, up to which the owner knows all changes.
-    void resume(std::uint64_t revision);
+    void resume(const schema::store_revision& revision);
     bool is_paused() const;
 
     //! Abandons the call in flight and reads a new snapshot at the next
@@ -78,6 +85,11 @@
     on_store_result
     bind_generation(void (store_watcher::*handler)(const store_result&));
     void on_page(const store_result& result);
+    //! Follows the epoch that a response states. Returns true if it is higher
+    //! than the one followed before.
+    bool follow_epoch(std::uint64_t stated);
+    //! Fails the call if its page belongs to an older epoch.
+    bool is_outdated(const store_page& page);
     void on_changes(const store_result& result);
     void on_success(base::time_ms now);
     void on_failure(const store_error& error);
@@ -95,13 +107,15 @@
     //! Last key of the previous page of an unfinished snapshot, or empty.
     std::string last_page_key;
     std::vector<std::string> snapshot_keys;
-    std::uint64_t snapshot_revision{0};
+    schema::store_revision snapshot_revision;
     //! When the first page of the snapshot was asked for.
     base::time_ms snapshot_asked_at;
     //! When the call in flight was started.
     base::time_ms asked_at;
+    //! Newest epoch that a response stated.
+    std::uint64_t epoch{0};
     //! Revision after which the next watch reports changes.
-    std::uint64_t revision{0};
+    schema::store_revision revision;
     //! Failed calls in a row.
     std::uint32_t failures{0};
     //! INT64_MIN / 2 is long ago without overflow when times are subtracted.
--- a/src/directory/target_entry.hpp
+++ b/src/directory/target_entry.hpp
@@ -2,6 +2,7 @@
 
 #include "base/time.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -14,6 +15,18 @@
     draining, //!< Stops soon and accepts no new requests.
 };
 
+//! Place of a target's entry among all that were published under its id: the
+//! entries of a later process follow those of an earlier one.
+struct report_position
+{
+    //! Start of the process in ms since the epoch; 0 if unknown.
+    std::uint64_t started_at_ms{0};
+    //! Number of the report; rises within the life of a process.
+    std::uint64_t number{0};
+
+    auto operator<=>(const report_position&) const = default;
+};
+
 //! A target as it registered itself in the store.
 struct target_entry
 {
@@ -33,6 +46,13 @@
     //! restarts under the same instance id. Of several targets at one address
     //! the one with the latest start is in use.
     std::uint64_t started_at_ms{0};
+    //! Number of this report; rises within the life of the process.
+    std::uint64_t report_number{0};
+
+    report_position position() const
+    {
+        return {this->started_at_ms, this->report_number};
+    }
 
     bool operator==(const target_entry&) const = default;
 };
--- a/src/directory/tests/fleet_view_test.cpp
+++ b/src/directory/tests/fleet_view_test.cpp
@@ -12,6 +12,12 @@
 {
 constexpr base::duration_ms hold{2000};
 
+//! A revision of the store's first epoch.
+schema::store_revision at(std::uint64_t number)
+{
+    return {1, number};
+}
+
 //! Decodes the items of these tests. The key "t/ID" holds a target: "SERVICE"
 //! or "SERVICE draining", each with an address that no other target has, or
 //! "SERVICE at HOST since MS" with an address and a start time. The key "c"
@@ -52,7 +58,7 @@
 schema::published_item
 item(const std::string& key, const std::string& value, std::uint64_t revision)
 {
-    return {key, value, revision, value.empty()};
+    return {key, value, at(revision), value.empty()};
 }
 //! Merges a list that a peer sent.
 void apply_list(fleet_view& view, const schema::item_list& list)
@@ -73,10 +79,10 @@
     REQUIRE(view.targets("s").size() == 1);
     CHECK(view.targets("s")[0].phase == target_phase::draining);
     // Single items do not show whether others are missing.
-    CHECK(view.revision() == 0);
-    view.advance(7);
-    view.advance(5);
-    CHECK(view.revision() == 7);
+    CHECK(view.revision().number == 0);
+    view.advance(at(7));
+    view.advance(at(5));
+    CHECK(view.revision() == at(7));
 }
 
 TEST_CASE("a configuration with a lower version never replaces a higher one")
@@ -151,10 +157,10 @@
     view.merge(item("t/1", "s", 1), {0});
     view.merge(item("t/2", "s", 2), {0});
     view.merge(item("t/3", "s", 30), {0});
-    view.end_snapshot({"t/1"}, 20, {0});
+    view.end_snapshot({"t/1"}, at(20), {0});
     // The third item was written after the snapshot began.
     CHECK(view.targets("s").size() == 2);
-    CHECK(view.revision() == 20);
+    CHECK(view.revision() == at(20));
 }
 
 TEST_CASE("a peer gets the items that it lacks, including removals")
@@ -165,14 +171,14 @@
     view.merge(item("t/2", "s", 3), {0});
     view.merge(item("t/1", "", 4), {0});
     fleet_view peer(decode, hold);
-    view.advance(4);
-    apply_list(peer, view.changes_after(0));
-    CHECK(peer.revision() == 4);
+    view.advance(at(4));
+    apply_list(peer, view.changes_after({}));
+    CHECK(peer.revision() == at(4));
     CHECK(peer.targets("s") == view.targets("s"));
-    CHECK(view.changes_after(4).items.empty());
+    CHECK(view.changes_after(at(4)).items.empty());
     view.merge(item("t/2", "", 5), {0});
-    view.advance(5);
-    CHECK(view.changes_after(4).items.size() == 1);
+    view.advance(at(5));
+    CHECK(view.changes_after(at(4)).items.size() == 1);
 }
 
 TEST_CASE("a peer drops a target that was removed before this node started")
@@ -180,19 +186,19 @@
     fleet_view peer(decode, hold);
     peer.merge(item("t/gone", "s", 2), {0});
     peer.merge(item("t/1", "s", 3), {0});
-    peer.advance(3);
+    peer.advance(at(3));
     // Started after the removal at revision 4.
     fleet_view view(decode, hold);
     view.merge(item("t/1", "s", 3), {0});
-    view.end_snapshot({"t/1"}, 9, {0});
+    view.end_snapshot({"t/1"}, at(9), {0});
     apply_list(peer, view.changes_after(peer.revision()));
-    CHECK(peer.revision() == 9);
+    CHECK(peer.revision() == at(9));
     CHECK(peer.targets("s") == view.targets("s"));
     // Once both know the same revisions, a list holds changes only.
     view.merge(item("t/2", "s", 10), {0});
-    view.advance(10);
-    CHECK(view.changes_after(9).items.size() == 1);
-    apply_list(peer, view.changes_after(9));
+    view.advance(at(10));
+    CHECK(view.changes_after(at(9)).items.size() == 1);
+    apply_list(peer, view.changes_after(at(9)));
     CHECK(peer.targets("s").size() == 2);
 }
 
@@ -218,3 +224,38 @@
     CHECK(view.targets("s").size() == 2);
     CHECK(view.targets("z").empty());
 }
+
+// Guards against a removed target that a list brings back which a peer sent
+// before the removal.
+TEST_CASE("a late list does not bring back what a snapshot no longer has")
+{
+    fleet_view peer(decode, hold);
+    peer.merge(item("t/1", "s", 7), {0});
+    peer.advance(at(7));
+    const auto late = peer.changes_after({});
+    fleet_view view(decode, hold);
+    view.end_snapshot({}, at(9), {0});
+    for (const auto& missing : late.items)
+    {
+        view.merge_from_peer(missing, {0});
+    }
+    view.end_list(late, {0});
+    CHECK(view.targets("s").empty());
+}
+
+// Guards against a node that takes itself for complete after a restart, as a
+// peer sent the changes after a revision of its previous process.
+TEST_CASE("a list of changes after an unknown revision completes nothing")
+{
+    fleet_view peer(decode, hold);
+    peer.merge(item("t/1", "s", 7), {0});
+    peer.advance(at(7));
+    peer.merge(item("t/2", "s", 8), {0});
+    peer.advance(at(8));
+    fleet_view view(decode, hold);
+    apply_list(view, peer.changes_after(at(7)));
+    CHECK(view.revision().number == 0);
+    apply_list(view, peer.changes_after({}));
+    CHECK(view.revision() == at(8));
+    CHECK(view.targets("s").size() == 2);
+}
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -155,7 +155,8 @@
             {
                 call.message.expected_instance = target->instance;
             }
-            call.message.directory_revision = this->tables.directory_revision;
+            call.message.directory_revision =
+                this->tables.known_directory_revision();
             call.message.budget = call.attempt_budget;
             call.message.remaining_ms = (call.deadline - now).count;
             call.link = 0;
--- a/src/node/internal/directory_follower.cpp
+++ b/src/node/internal/directory_follower.cpp
@@ -70,23 +70,30 @@
 {
     directory::watcher_events events;
     events.on_item = [this](const auto& item) { this->on_item(item); };
-    events.on_snapshot = [this](const auto& keys, std::uint64_t revision)
+    events.on_snapshot_begin = [this](const schema::store_revision& revision)
+    {
+        this->state.with([&](follower_state& state)
+                         { state.view.begin_state(revision, base::now()); });
+    };
+    events.on_snapshot =
+        [this](const auto& keys, const schema::store_revision& revision)
     {
         const auto change = this->state.with(
             [&](follower_state& state)
             { return state.view.end_snapshot(keys, revision, base::now()); });
         this->tables.record_event(
             {0, "store_snapshot", 0, 0, "",
-             "revision=" + std::to_string(revision) +
+             "revision=" + schema::to_string(revision) +
                  " items=" + std::to_string(keys.size())});
         this->apply(change);
     };
-    events.on_advanced = [this](std::uint64_t revision)
+    events.on_advanced = [this](const schema::store_revision& revision)
     {
         this->state.with([&](follower_state& state)
                          { state.view.advance(revision); });
     };
-    events.on_current = [this](std::uint64_t revision, base::time_ms asked_at)
+    events.on_current =
+        [this](const schema::store_revision& revision, base::time_ms asked_at)
     {
         this->state.with(
             [&](follower_state& state)
@@ -118,9 +125,13 @@
 
 void directory_follower::on_item(const schema::published_item& item)
 {
-    const auto change =
+    this->apply_item(
         this->state.with([&](follower_state& state)
-                         { return state.view.merge(item, base::now()); });
+                         { return state.view.merge(item, base::now()); }));
+}
+
+void directory_follower::apply_item(const directory::view_change& change)
+{
     if (!change.problem.empty())
     {
         this->tables.record_event(
@@ -159,7 +170,7 @@
     follower_state& state, base::time_ms now) const
 {
     const bool store_current =
-        state.view.revision() > 0 && !state.watcher->is_store_lost();
+        state.view.revision().number > 0 && !state.watcher->is_store_lost();
     const bool announced =
         now - state.watching_peer_heard_at < announce_timeout;
     const bool needed = state.role.watches || !store_current || !announced;
@@ -172,7 +183,7 @@
             {0, "watch_resumed", 0, 0, "",
              "silent_ms=" +
                  std::to_string((now - state.watching_peer_heard_at).count) +
-                 " revision=" + std::to_string(state.view.revision())});
+                 " revision=" + schema::to_string(state.view.revision())});
     }
     if (!needed && !state.watcher->is_paused())
     {
@@ -180,7 +191,7 @@
         state.behind_since.reset();
         this->tables.record_event(
             {0, "watch_paused", 0, 0, "",
-             "revision=" + std::to_string(state.view.revision())});
+             "revision=" + schema::to_string(state.view.revision())});
     }
 }
 
@@ -242,7 +253,9 @@
                     ? this->long_poll_timeout(nodes)
                     : announcing_long_poll_timeout;
             state.watcher->tick(now, timeout);
-            this->tables.directory_revision = state.view.revision();
+            this->tables.directory_revision.with(
+                [&](schema::store_revision& known)
+                { known = state.view.revision(); });
             this->update_proof(state);
             return state.view.tick(now);
         });
--- a/src/node/internal/directory_follower.hpp
+++ b/src/node/internal/directory_follower.hpp
@@ -61,7 +61,7 @@
         base::time_ms next_digest{INT64_MIN / 2};
         //! When this node's revision changed last.
         base::time_ms revision_changed_at{INT64_MIN / 2};
-        std::uint64_t last_revision{0};
+        schema::store_revision last_revision{};
         //! Since when peers have known a higher revision than this node's watch
         //! has reported.
         std::optional<base::time_ms> behind_since{};
@@ -70,10 +70,10 @@
         //! When a digest of another, watching node arrived last.
         base::time_ms watching_peer_heard_at{INT64_MIN / 2};
         //! The revision that a peer was last asked for.
-        std::uint64_t queried_revision{0};
+        schema::store_revision queried_revision{};
         base::time_ms queried_at{INT64_MIN / 2};
         base::time_ms next_announcement{INT64_MIN / 2};
-        std::uint64_t announced_revision{0};
+        schema::store_revision announced_revision{};
         decisions::view_freshness freshness{};
         //! Digests that arrive earlier may have waited in socket buffers while
         //! the process was suspended.
@@ -95,8 +95,19 @@
     //! Pauses the watch of the store while another node watches on behalf of
     //! this one, and resumes it otherwise.
     void update_watch(follower_state& state, base::time_ms now) const;
-    void
-    query_peer(const transport::peer_address& peer, std::uint64_t revision);
+    //! Asks a peer that knows \p revision for what this node lacks.
+    void query_peer(
+        const transport::peer_address& peer,
+        const schema::store_revision& revision);
+    //! Sends a query for the items after \p after, unless the peers were just
+    //! asked for \p revision.
+    void send_query(
+        const transport::peer_address& peer,
+        const schema::store_revision& revision,
+        const schema::store_revision& after);
+    void record_restore(const directory::restore_summary& restore);
+    //! Digest of this node's copy of the store.
+    schema::directory_digest make_digest(base::time_ms now, bool watching);
     //! Restarts the watch if the store does not report what peers know.
     void restart_stalled_watch(base::time_ms now);
     std::optional<transport::peer_address>
@@ -104,6 +115,8 @@
 
     directory::watcher_events make_events();
     void on_item(const schema::published_item& item);
+    //! Applies the change that an item made, and logs if it is unreadable.
+    void apply_item(const directory::view_change& change);
     void apply(const directory::view_change& change);
     void apply_configuration();
     //! Tells the quota exchange which nodes there are.
--- a/src/node/internal/directory_follower_apply.cpp
+++ b/src/node/internal/directory_follower_apply.cpp
@@ -38,6 +38,10 @@
 
 void directory_follower::apply(const directory::view_change& change)
 {
+    if (change.restore)
+    {
+        this->record_restore(*change.restore);
+    }
     if (change.configuration_changed)
     {
         this->apply_configuration();
@@ -59,6 +63,17 @@
     }
 }
 
+void directory_follower::record_restore(
+    const directory::restore_summary& restore)
+{
+    this->tables.record_event(
+        {0, "store_restored", 0, 0, "",
+         "old_epoch=" + std::to_string(restore.old_epoch) +
+             " revision=" + schema::to_string(restore.revision) +
+             " missing_kept=" + std::to_string(restore.missing) +
+             " outdated_kept=" + std::to_string(restore.outdated)});
+}
+
 void directory_follower::set_fleet(
     const schema::node_settings::fleet_section& fleet)
 {
--- a/src/node/internal/directory_follower_peers.cpp
+++ b/src/node/internal/directory_follower_peers.cpp
@@ -27,12 +27,15 @@
 void directory_follower::on_digest(const schema::directory_digest& digest)
 {
     const auto now = base::now();
-    std::uint64_t local_revision = 0;
+    schema::store_revision local_revision;
+    std::uint64_t local_configuration = 0;
     bool settled = false;
     this->state.with(
         [&](follower_state& state)
         {
             local_revision = state.view.revision();
+            const auto& configuration = state.view.configuration();
+            local_configuration = configuration ? configuration->version : 0;
             settled = now - state.revision_changed_at >= settle_time;
             const bool behind = digest.revision > local_revision;
             if (behind && !state.behind_since)
@@ -51,6 +54,13 @@
         this->query_peer(peer, digest.revision);
         return;
     }
+    if (digest.configuration > local_configuration)
+    {
+        // A store that was restored may not have this version any more; only
+        // the complete list has it, too.
+        this->send_query(peer, local_revision, {});
+        return;
+    }
     // A peer that is still behind after the time that its own watch needs gets
     // the items.
     if (digest.revision < local_revision && settled)
@@ -81,27 +91,37 @@
 }
 
 void directory_follower::query_peer(
-    const transport::peer_address& peer, std::uint64_t revision)
+    const transport::peer_address& peer, const schema::store_revision& revision)
+{
+    const auto known = this->state.with([](follower_state& state)
+                                        { return state.view.revision(); });
+    this->send_query(peer, revision, known);
+}
+
+void directory_follower::send_query(
+    const transport::peer_address& peer, const schema::store_revision& revision,
+    const schema::store_revision& after)
 {
     const auto now = base::now();
-    const auto after = this->state.with(
-        [&](follower_state& state) -> std::optional<std::uint64_t>
+    const bool just_asked = this->state.with(
+        [&](follower_state& state)
         {
             if (state.queried_revision >= revision &&
                 now - state.queried_at < query_timeout)
             {
-                return std::nullopt;
+                return true;
             }
             state.queried_revision = revision;
             state.queried_at = now;
-            return state.view.revision();
+            return false;
         });
-    if (after)
+    if (just_asked)
     {
-        this->network->send(
-            this->network->link_to(peer), transport::frame_kind::item_query,
-            transport::encode(schema::item_query{*after}));
+        return;
     }
+    this->network->send(
+        this->network->link_to(peer), transport::frame_kind::item_query,
+        transport::encode(schema::item_query{after}));
 }
 
 void directory_follower::on_query(
@@ -117,10 +137,16 @@
 void directory_follower::on_items(const schema::item_list& list)
 {
     const auto old_revision = this->state.with(
-        [](follower_state& state) { return state.view.revision(); });
+        [&](follower_state& state)
+        {
+            state.view.begin_state(list.revision, base::now());
+            return state.view.revision();
+        });
     for (const auto& item : list.items)
     {
-        this->on_item(item);
+        this->apply_item(this->state.with(
+            [&](follower_state& state)
+            { return state.view.merge_from_peer(item, base::now()); }));
     }
     // The list begins at the revision that this node sent in its query or
     // digest, so nothing is missing up to the list's revision.
@@ -132,8 +158,8 @@
     {
         this->tables.record_event(
             {0, "items_from_peer", 0, 0, "",
-             "after=" + std::to_string(old_revision) +
-                 " revision=" + std::to_string(list.revision) +
+             "after=" + schema::to_string(old_revision) +
+                 " revision=" + schema::to_string(list.revision) +
                  " items=" + std::to_string(list.items.size())});
     }
 }
@@ -158,11 +184,27 @@
         hosts[state.random() % hosts.size()], local.node_port};
 }
 
-void directory_follower::send_digest(base::time_ms now)
+schema::directory_digest
+directory_follower::make_digest(base::time_ms now, bool watching)
 {
     const auto& local = this->tables.settings.node;
-    schema::directory_digest digest{
-        local.address, local.node_port, 0, false, this->proof_age_ms(now)};
+    schema::directory_digest digest;
+    digest.host = local.address;
+    digest.port = local.node_port;
+    digest.watching = watching;
+    digest.proof_age_ms = this->proof_age_ms(now);
+    this->state.with(
+        [&](follower_state& state)
+        {
+            digest.revision = state.view.revision();
+            const auto& configuration = state.view.configuration();
+            digest.configuration = configuration ? configuration->version : 0;
+        });
+    return digest;
+}
+
+void directory_follower::send_digest(base::time_ms now)
+{
     const auto peer = this->state.with(
         [&](follower_state& state) -> std::optional<transport::peer_address>
         {
@@ -171,26 +213,22 @@
                 return std::nullopt;
             }
             state.next_digest = now + digest_interval;
-            digest.revision = state.view.revision();
             return this->pick_peer(state);
         });
     if (peer)
     {
         this->network->send_datagram(
             *peer, transport::frame_kind::directory_digest,
-            transport::encode(digest));
+            transport::encode(this->make_digest(now, false)));
     }
 }
 
 void directory_follower::announce_revision(base::time_ms now)
 {
-    const auto& local = this->tables.settings.node;
-    schema::directory_digest digest{
-        local.address, local.node_port, 0, true, this->proof_age_ms(now)};
+    const auto digest = this->make_digest(now, true);
     const auto hosts = this->state.with(
         [&](follower_state& state) -> std::vector<std::string>
         {
-            digest.revision = state.view.revision();
             const bool announcement_due =
                 now >= state.next_announcement ||
                 digest.revision != state.announced_revision;
@@ -214,8 +252,7 @@
     for (const auto& host : hosts)
     {
         this->network->send_datagram(
-            {host, local.node_port}, transport::frame_kind::directory_digest,
-            body);
+            {host, digest.port}, transport::frame_kind::directory_digest, body);
     }
 }
 } // namespace bilberrytally::node
--- a/src/node/internal/node_tables.cpp
+++ b/src/node/internal/node_tables.cpp
@@ -66,6 +66,12 @@
     return now - base::time_ms{proven_at_ms};
 }
 
+schema::store_revision node_tables::known_directory_revision()
+{
+    return this->directory_revision.with(
+        [](const schema::store_revision& revision) { return revision; });
+}
+
 base::time_ms node_tables::latest_deadline() const
 {
     return {this->latest_deadline_ms};
--- a/src/node/internal/node_tables.hpp
+++ b/src/node/internal/node_tables.hpp
@@ -69,6 +69,7 @@
 constexpr int inbound_calls_rank = 30;
 constexpr int routing_rank = 40;
 constexpr int access_rank = 45;
+constexpr int revision_rank = 50;
 
 //! Interval of the node's repeating work.
 constexpr base::duration_ms tick_interval{10};
@@ -115,6 +116,9 @@
     //! nothing without proof.
     std::optional<base::duration_ms> view_age(base::time_ms now) const;
 
+    //! Store revision up to which the targets are known, in routed mode.
+    schema::store_revision known_directory_revision();
+
     //! Latest deadline of the calls that are still taken.
     base::time_ms latest_deadline() const;
 
@@ -136,8 +140,8 @@
     //! Calls with a later deadline are not taken, in ms on the monotonic clock.
     //! Set late in a planned stop, after which this process answers nothing.
     std::atomic<std::int64_t> latest_deadline_ms{INT64_MAX};
-    //! Store revision up to which the targets are known, in routed mode.
-    std::atomic<std::uint64_t> directory_revision{0};
+    //! See known_directory_revision().
+    base::guarded<schema::store_revision, revision_rank> directory_revision;
     //! When the store was asked for the newest state that this node's copy is
     //! proven to hold, in ms on the monotonic clock; INT64_MIN / 2 without
     //! proof, so that the time since then does not overflow.
--- a/src/node/internal/target_side_answers.cpp
+++ b/src/node/internal/target_side_answers.cpp
@@ -161,7 +161,7 @@
            " waited_ms=" + std::to_string((now - call.arrived).count) +
            " transit_ms=" + std::to_string(call.transit.count) +
            " caller_revision=" +
-           std::to_string(call.message.directory_revision) +
-           " revision=" + std::to_string(this->tables.directory_revision);
+           schema::to_string(call.message.directory_revision) + " revision=" +
+           schema::to_string(this->tables.known_directory_revision());
 }
 } // namespace bilberrytally::node
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/shared_text.hpp"
+#include "schema/store_revision.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -177,7 +178,7 @@
     std::string expected_instance{};
     //! Store revision up to which the sender knew the targets when it chose
     //! one; 0 if none is read from a store.
-    std::uint64_t directory_revision{0};
+    store_revision directory_revision{};
     //! Workspace of the root request; empty for none.
     std::string workspace{};
     //! Id of the access key that the request was sent with; 0 for none.
@@ -383,7 +384,7 @@
     //! Value as written, in bytes; empty if the item was removed.
     std::string value{};
     //! Store revision at which the item last changed.
-    std::uint64_t revision{0};
+    store_revision revision{};
     //! The item was removed at this revision.
     bool removed{false};
 
@@ -404,7 +405,9 @@
     //! Sender's node port, TCP and UDP.
     std::uint32_t port{0};
     //! Revision up to which the sender's copy of the store is complete.
-    std::uint64_t revision{0};
+    store_revision revision{};
+    //! Version of the configuration that the sender has in force; 0 for none.
+    std::uint64_t configuration{0};
     //! The sender has a working watch at the store.
     bool watching{false};
     //! Time since the store was asked for the state that the sender's copy is
@@ -417,15 +420,15 @@
     void serialize(Archive& archive)
     {
         archive(
-            this->host, this->port, this->revision, this->watching,
-            this->proof_age_ms);
+            this->host, this->port, this->revision, this->configuration,
+            this->watching, this->proof_age_ms);
     }
 };
 //! Requests the items of the metadata store that the sender lacks.
 struct item_query
 {
     //! The sender lacks the items that changed after this revision.
-    std::uint64_t after{0};
+    store_revision after{};
 
     bool operator==(const item_query&) const = default;
 
@@ -440,8 +443,10 @@
 {
     //! Items, in any order.
     std::vector<published_item> items{};
+    //! Revision of the query.
+    store_revision after{};
     //! Store revision up to which the items are complete.
-    std::uint64_t revision{0};
+    store_revision revision{};
     //! The list holds all items of the store; others were removed. False if it
     //! holds only what changed after the revision of the query.
     bool complete{false};
@@ -451,7 +456,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(this->items, this->revision, this->complete);
+        archive(this->items, this->after, this->revision, this->complete);
     }
 };
 //! Asks for tokens of one slot of a workspace's quota.
--- a/src/transport/internal/frame_codec.cpp
+++ b/src/transport/internal/frame_codec.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 //! Identifies the protocol ("BTL") and, in the lowest byte, its version.
-constexpr std::uint32_t magic = 0x42544c02;
+constexpr std::uint32_t magic = 0x42544c03;
 // Layout of the header, as byte offsets: magic number 0, kind 4, body length
 // 8, payload length 12, sequence number 16, session id 24, send time 32,
 // logical time 40, checksum of the body 48, tag 56.
