A statement that a target leaves binds the process that made it

Cause: the statement took its start from the list at the moment of the answer. If the entry was gone by then, it took the start of the next process when the id was listed again, which no later start ever replaced.

Change: a call knows instance and start from its dispatch, and carries the start to the target's node. Statements are kept by process and bind only the listed one.

--- a/src/decisions/internal/target_table.cpp
+++ b/src/decisions/internal/target_table.cpp
@@ -17,7 +17,7 @@
 constexpr double latency_weight = 0.2;
 //! Weight of a call in the moving average of the share of failed calls.
 constexpr double failed_share_weight = 0.05;
-//! How long it is remembered that a target which is not listed was leaving.
+//! How long it is remembered that a process which is not listed was leaving.
 constexpr base::duration_ms leaving_lifetime{600000};
 //! Value of `floor` in a load report of a target that sheds no class.
 constexpr std::uint32_t no_shed_threshold = 255;
@@ -81,7 +81,7 @@
         this->targets,
         [&](const auto& entry) { return listed.count(entry.first) == 0; });
     this->list_known = true;
-    this->update_stated_leaving(now);
+    this->forget_stated_leaving(now);
     this->update_subset();
 }
 
@@ -122,39 +122,44 @@
 }
 
 void target_table::on_stated_leaving(
-    const std::string& instance, base::time_ms now)
+    const target_process& process, base::time_ms now)
 {
-    const auto found = this->targets.find(instance);
-    const auto started_at_ms = found == this->targets.end()
-                                   ? std::nullopt
-                                   : std::optional(found->second.started_at_ms);
-    this->leaving.try_emplace(instance, stated_leaving{started_at_ms, now});
+    this->leaving.try_emplace(process, now);
 }
 
 bool target_table::has_stated_leaving(const std::string& instance) const
 {
-    return this->leaving.count(instance) != 0;
+    const auto found = this->targets.find(instance);
+    if (found != this->targets.end())
+    {
+        return this->leaving.contains({instance, found->second.started_at_ms});
+    }
+    const auto first = this->leaving.lower_bound({instance, 0});
+    return first != this->leaving.end() && first->first.instance == instance;
 }
 
-void target_table::update_stated_leaving(base::time_ms now)
+std::uint64_t target_table::started_at_ms(const std::string& instance) const
+{
+    const auto found = this->targets.find(instance);
+    return found == this->targets.end() ? 0 : found->second.started_at_ms;
+}
+
+bool target_table::is_listed(const target_process& process) const
+{
+    const auto found = this->targets.find(process.instance);
+    return found != this->targets.end() &&
+           found->second.started_at_ms == process.started_at_ms;
+}
+
+void target_table::forget_stated_leaving(base::time_ms now)
 {
-    for (auto& [instance, statement] : this->leaving)
-    {
-        const auto found = this->targets.find(instance);
-        if (!statement.started_at_ms && found != this->targets.end())
-        {
-            statement.started_at_ms = found->second.started_at_ms;
-        }
-    }
     std::erase_if(
         this->leaving,
         [&](const auto& entry)
         {
-            const auto& [instance, statement] = entry;
-            const auto found = this->targets.find(instance);
-            return found == this->targets.end()
-                       ? now - statement.stated_at >= leaving_lifetime
-                       : found->second.started_at_ms > statement.started_at_ms;
+            const auto& [process, stated_at] = entry;
+            return !this->is_listed(process) &&
+                   now - stated_at >= leaving_lifetime;
         });
 }
 
--- a/src/decisions/target_table.hpp
+++ b/src/decisions/target_table.hpp
@@ -7,6 +7,7 @@
 #include "schema/messages.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -39,6 +40,16 @@
     auto operator<=>(const target_address&) const = default;
 };
 
+//! One process of a target. A target that starts again may keep its id.
+struct target_process
+{
+    std::string instance;
+    //! Start as listed, in ms since the epoch; 0 if unknown.
+    std::uint64_t started_at_ms{0};
+
+    auto operator<=>(const target_process&) const = default;
+};
+
 //! One target, as shown to operators.
 struct target_view
 {
@@ -162,12 +173,15 @@
     void
     on_draining(const std::string& instance, bool draining, base::time_ms now);
 
-    //! Records that a target stated in a response that it is leaving. It gets
-    //! no more calls until it is listed with another start, even if it is
-    //! dropped from the list and comes back.
-    void on_stated_leaving(const std::string& instance, base::time_ms now);
-    //! True if the target stated that it is leaving and has not started again.
+    //! Records that a process of a target stated in a response that it is
+    //! leaving. The target gets no calls while it is listed with this process,
+    //! even if it is dropped from the list and comes back.
+    void on_stated_leaving(const target_process& process, base::time_ms now);
+    //! True if the listed process of the target stated that it is leaving; if
+    //! the target is not listed, whether any of its processes did.
     bool has_stated_leaving(const std::string& instance) const;
+    //! Start of the listed process of a target; 0 if it is not listed.
+    std::uint64_t started_at_ms(const std::string& instance) const;
 
     //! Since when a target is listed as leaving, or has been dropped from the
     //! list; nothing if it is listed as live or was never listed.
@@ -249,17 +263,9 @@
         base::time_ms waited_at{INT64_MIN / 2};
     };
 
-    //! A target that stated that it is leaving.
-    struct stated_leaving
-    {
-        //! Start of the process that stated it; nothing if it was not listed.
-        std::optional<std::uint64_t> started_at_ms;
-        base::time_ms stated_at;
-    };
-
-    //! Forgets statements of targets that have started again, and old ones of
-    //! targets that are not listed any more.
-    void update_stated_leaving(base::time_ms now);
+    //! Forgets old statements of processes that are not listed any more.
+    void forget_stated_leaving(base::time_ms now);
+    bool is_listed(const target_process& process) const;
     //! Records which targets the list marks as leaving or has just dropped.
     void
     update_listed_leaving(const schema::instance_list& list, base::time_ms now);
@@ -362,8 +368,9 @@
     //! Ids of the targets that calls are balanced over.
     std::vector<std::string> subset;
     std::unordered_map<std::string, target> targets;
-    //! By instance. Kept apart from the targets, which the list may drop.
-    std::unordered_map<std::string, stated_leaving> leaving;
+    //! When processes stated that they are leaving. Kept apart from the
+    //! targets, which the list may drop.
+    std::map<target_process, base::time_ms> leaving;
     //! When the list first marked a target as leaving or dropped it, by
     //! instance.
     std::unordered_map<std::string, base::time_ms> listed_leaving_times;
--- a/src/decisions/tests/routing_test.cpp
+++ b/src/decisions/tests/routing_test.cpp
@@ -358,7 +358,7 @@
     };
     table.apply(list_with(500, true), {0});
     CHECK(gets_calls({10}));
-    table.on_stated_leaving("left", {20});
+    table.on_stated_leaving({"left", 500}, {20});
     CHECK_FALSE(gets_calls({30}));
     // Unlike a report of its node, the statement does not expire.
     CHECK_FALSE(gets_calls({60000}));
@@ -369,3 +369,53 @@
     table.apply(list_with(501, true), {64000});
     CHECK(gets_calls({80000}));
 }
+
+// Guards against a target that is never used again after a planned restart
+// under its id.
+TEST_CASE("a statement that a target leaves binds the process that made it")
+{
+    target_table table("self", "z");
+    const auto list = [&](std::uint64_t started_at_ms)
+    {
+        schema::instance_list rows{1, "s", {}};
+        if (started_at_ms != 0)
+        {
+            rows.instances.push_back(
+                {"t", "z", "127.0.0.1", 2, schema::instance_state::live,
+                 started_at_ms});
+        }
+        table.apply(rows, {0});
+    };
+    list(500);
+    SUBCASE("although it arrives when the target is not listed")
+    {
+        list(0);
+        table.on_stated_leaving({"t", 500}, {10});
+        CHECK(table.has_stated_leaving("t"));
+        list(501);
+        CHECK_FALSE(table.has_stated_leaving("t"));
+        list(500);
+        CHECK(table.has_stated_leaving("t"));
+    }
+    SUBCASE("although the next process is listed when it arrives")
+    {
+        list(501);
+        table.on_stated_leaving({"t", 500}, {10});
+        CHECK_FALSE(table.has_stated_leaving("t"));
+    }
+    SUBCASE("although the clock was set back between the two")
+    {
+        table.on_stated_leaving({"t", 500}, {10});
+        list(499);
+        CHECK_FALSE(table.has_stated_leaving("t"));
+    }
+    SUBCASE("and a second process that leaves is bound like the first")
+    {
+        table.on_stated_leaving({"t", 500}, {10});
+        list(501);
+        table.on_stated_leaving({"t", 501}, {20});
+        CHECK(table.has_stated_leaving("t"));
+        list(502);
+        CHECK_FALSE(table.has_stated_leaving("t"));
+    }
+}
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -240,6 +240,9 @@
     //! Chooses a target; sets \p reason where there is none.
     std::optional<decisions::target_address>
     choose_target(const outbound_call& call, schema::refusal& reason);
+    //! Start of the process of a chosen target; 0 if it is not listed.
+    std::uint64_t listed_start(
+        const outbound_call& call, const decisions::target_address& target);
     //! Ends a call that found no target, unless its primary attempt goes on.
     void refuse_dispatch(std::uint64_t id, schema::refusal reason);
     void dispatch_local(std::uint64_t id, std::uint64_t attempt);
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -154,6 +154,8 @@
             if (this->tables.platform_headers)
             {
                 call.message.expected_instance = target->instance;
+                call.target_start_ms = this->listed_start(call, *target);
+                call.message.expected_start_ms = call.target_start_ms;
             }
             call.message.directory_revision =
                 this->tables.known_directory_revision();
@@ -177,6 +179,16 @@
     this->dispatch_remote(id, attempt, *target);
 }
 
+std::uint64_t caller_side::listed_start(
+    const outbound_call& call, const decisions::target_address& target)
+{
+    std::uint64_t start_ms = 0;
+    this->tables.with_targets(
+        call.message.service, [&](auto& targets, routing_table&)
+        { start_ms = targets.started_at_ms(target.instance); });
+    return start_ms;
+}
+
 void caller_side::refuse_dispatch(std::uint64_t id, schema::refusal reason)
 {
     schema::answer answer;
@@ -341,7 +353,8 @@
                 states_leaving(
                     outcome.answer.headers, *this->tables.platform_headers))
             {
-                targets.on_stated_leaving(state.target, now);
+                targets.on_stated_leaving(
+                    {state.target, state.target_start_ms}, now);
             }
             const auto latency =
                 relative_latency(table, call, now - state.dispatched, routed);
--- a/src/node/internal/outbound_call.cpp
+++ b/src/node/internal/outbound_call.cpp
@@ -75,15 +75,16 @@
 
 attempt_state outbound_call::current_attempt() const
 {
-    return {
-        this->attempt_id, this->target, this->link, this->local_inbound_call,
-        this->dispatched};
+    return {this->attempt_id,         this->target,
+            this->target_start_ms,    this->link,
+            this->local_inbound_call, this->dispatched};
 }
 
 void outbound_call::set_current_attempt(const attempt_state& state)
 {
     this->attempt_id = state.id;
     this->target = state.target;
+    this->target_start_ms = state.target_start_ms;
     this->link = state.link;
     this->local_inbound_call = state.local_inbound_call;
     this->dispatched = state.dispatched;
--- a/src/node/internal/outbound_call.hpp
+++ b/src/node/internal/outbound_call.hpp
@@ -34,6 +34,8 @@
 {
     std::uint64_t id{0};
     std::string target;
+    //! Start of the target's process as listed at the dispatch.
+    std::uint64_t target_start_ms{0};
     transport::link_id link{0};
     std::uint64_t local_inbound_call{0};
     base::time_ms dispatched;
@@ -92,6 +94,7 @@
     //! The current attempt; 0 for none.
     std::uint64_t attempt_id{0};
     std::string target;
+    std::uint64_t target_start_ms{0};
     transport::link_id link{0};
     std::uint64_t local_inbound_call{0};
     //! Share of the retry budget that was passed on with the attempt.
--- a/src/node/internal/target_side_backend.cpp
+++ b/src/node/internal/target_side_backend.cpp
@@ -300,8 +300,11 @@
     {
         this->tables.with_targets(
             call.service,
-            [&](auto& targets, routing_table&) {
-                targets.on_stated_leaving(call.expected_instance, base::now());
+            [&](auto& targets, routing_table&)
+            {
+                targets.on_stated_leaving(
+                    {call.expected_instance, call.expected_start_ms},
+                    base::now());
             });
     }
 }
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -176,6 +176,9 @@
     std::uint32_t send_number{0};
     //! The only instance that may run the call; empty for any.
     std::string expected_instance{};
+    //! Start of that instance's process as listed when the sender chose it, ms
+    //! since the epoch; 0 if unknown.
+    std::uint64_t expected_start_ms{0};
     //! Store revision up to which the sender knew the targets when it chose
     //! one; 0 if none is read from a store.
     store_revision directory_revision{};
@@ -207,9 +210,10 @@
             this->headers, this->digest, this->root, this->depth,
             this->priority, this->remaining_ms, this->budget, this->rerun,
             this->repeatable, this->long_work, this->key, this->send_number,
-            this->expected_instance, this->directory_revision, this->workspace,
-            this->key_id, this->configuration_version, this->struck_by,
-            this->trace_parent, this->trace_state, this->cost_kind);
+            this->expected_instance, this->expected_start_ms,
+            this->directory_revision, this->workspace, this->key_id,
+            this->configuration_version, this->struck_by, this->trace_parent,
+            this->trace_state, this->cost_kind);
     }
 };
 //! The outcome of a call.
