A planned stop answers requests that wait at other nodes

Cause: at the end of a stop only calls that wait at the local target were refused; those sent to other nodes were neither taken back nor answered.

Change: 0.8 s before its end a stopping node recalls calls whose deadline lies past it; a target's node that has one waiting refuses it as not run. At the limit all open calls are answered, then the process exits, at most 0.2 s later. The port between nodes has a new field in "cancel".

--- a/src/decisions/drain_schedule.hpp
+++ b/src/decisions/drain_schedule.hpp
@@ -30,8 +30,9 @@
     limit_calls, //!< Take only calls that end in time from now on; happens
                  //!< once, unless close_port comes at the same time.
     close_port,  //!< The same, and stop to accept connections; happens once.
+    recall,      //!< Recall calls that wait at other nodes; happens once.
     finish,      //!< Exit; no call is left.
-    abort,       //!< Exit and abort the calls that are left.
+    abort,       //!< Answer the calls that are left and exit.
 };
 
 //! What a stopping node still has to do.
@@ -47,7 +48,10 @@
 //! seen that it leaves, and takes only requests that surely end before the
 //! process does from then on. Its port is closed once the local backend server
 //! runs no calls, whose nested calls may come over new connections. The node
-//! exits once no request has come over the open ones for a while.
+//! exits once no request has come over the open ones for a while. Shortly
+//! before its time is over, calls that would outlast it are recalled from the
+//! queues of other nodes, and at its end all that are left are answered, so
+//! that callers know what may be sent again.
 class drain_schedule
 {
 public:
@@ -74,5 +78,6 @@
     base::time_ms last_busy;
     bool calls_limited{false};
     bool port_closed{false};
+    bool calls_recalled{false};
 };
 } // namespace bilberrytally::decisions
--- a/src/decisions/internal/drain_schedule.cpp
+++ b/src/decisions/internal/drain_schedule.cpp
@@ -14,6 +14,9 @@
 constexpr base::duration_ms idle_close_limit{3500};
 //! Time that the process needs to exit before it is killed.
 constexpr base::duration_ms exit_time{500};
+//! Time before the end at which calls are recalled from other nodes: enough for
+//! their word and for the answer to the caller.
+constexpr base::duration_ms recall_time{800};
 //! Time that the answer to a call that has ended at its deadline needs to reach
 //! the caller.
 constexpr base::duration_ms answer_time{300};
@@ -74,7 +77,18 @@
     {
         return drain_step::finish;
     }
-    return now >= this->aborts_at ? drain_step::abort : drain_step::serve;
+    if (now >= this->aborts_at)
+    {
+        return drain_step::abort;
+    }
+    const bool recall_due =
+        this->calls_limited && this->aborts_at - now <= recall_time;
+    if (recall_due && !this->calls_recalled)
+    {
+        this->calls_recalled = true;
+        return drain_step::recall;
+    }
+    return drain_step::serve;
 }
 
 base::time_ms drain_schedule::latest_deadline() const
--- a/src/decisions/tests/drain_schedule_test.cpp
+++ b/src/decisions/tests/drain_schedule_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <initializer_list>
+#include <vector>
 
 using namespace bilberrytally;
 using namespace bilberrytally::decisions;
@@ -132,3 +133,27 @@
     const auto limits = drain_limits::create({500}, {1000}, {0});
     CHECK(play(limits, 5000) == exit_of_node{1000, drain_step::abort});
 }
+
+// Guards against calls that wait at other nodes until the process ends.
+TEST_CASE("calls are recalled from other nodes in time for an answer")
+{
+    drain_schedule schedule(
+        drain_limits::create({2500}, {600000}, {6000}), {0});
+    std::vector<std::int64_t> recalls;
+    for (std::int64_t now = 0; now < 5500; now += 100)
+    {
+        if (schedule.on_tick({}, {now}) == drain_step::recall)
+        {
+            recalls.push_back(now);
+        }
+    }
+    CHECK(recalls == std::vector<std::int64_t>{4700});
+    // A stop that is requested again gives them more time.
+    drain_schedule repeated(
+        drain_limits::create({2500}, {600000}, {6000}), {0});
+    CHECK(repeated.on_tick({}, {2500}) == drain_step::close_port);
+    repeated.on_repeated_request({4000});
+    CHECK(repeated.on_tick({}, {5000}) == drain_step::serve);
+    CHECK(repeated.on_tick({}, {8700}) == drain_step::recall);
+    CHECK(repeated.on_tick({}, {9500}) == drain_step::abort);
+}
--- a/src/node/internal/caller_side.cpp
+++ b/src/node/internal/caller_side.cpp
@@ -357,7 +357,7 @@
             state.link, transport::frame_kind::call, state.id);
         this->network->send(
             state.link, transport::frame_kind::cancel,
-            transport::encode(schema::cancel{state.id}));
+            transport::encode(schema::cancel{state.id, false}));
     }
 }
 
--- a/src/node/internal/caller_side.hpp
+++ b/src/node/internal/caller_side.hpp
@@ -77,6 +77,13 @@
     //! Cancels the nested calls of an inbound call that has ended.
     void cancel_nested_calls(std::uint64_t inbound_call);
 
+    //! Late in a planned stop: takes back the calls with a later deadline that
+    //! wait at targets, and refuses them once a target has said that they have
+    //! not run. Those that run go on.
+    void recall_waiting(base::time_ms latest_deadline);
+    //! At the end of a planned stop: answers all calls that are left.
+    void answer_all();
+
     //! Sends slow calls to another target and ends calls whose deadline has
     //! passed. Called by a timer.
     void tick(base::time_ms now);
@@ -279,6 +286,8 @@
     //! Cancels all attempts in progress.
     void stop_attempts(const outbound_call& call);
     void stop_attempt(const attempt_state& state);
+    //! Asks a target to refuse an attempt that does not run yet.
+    void recall(const attempt_state& attempt);
     //! Sends a hedged attempt of a slow call to another target, in routed mode
     //! only and if the call and the retry limit allow it. With
     //! \p any_target it is sent even where no target has spare slots.
--- a/src/node/internal/caller_side_dispatch.cpp
+++ b/src/node/internal/caller_side_dispatch.cpp
@@ -380,7 +380,8 @@
 bool caller_side::may_retry(outbound_call& call, const schema::answer& answer)
 {
     const auto now = base::now();
-    if (call.deadline <= now || call.destination == destination_kind::home)
+    if (call.deadline <= now || call.recalled ||
+        call.destination == destination_kind::home)
     {
         return false;
     }
@@ -503,6 +504,10 @@
                 outcome.answer = make_refusal_without_home(
                     call.message, outcome.answer.reason);
             }
+            if (call.recalled && verdict_of(outcome.answer) == verdict::not_run)
+            {
+                outcome.answer.reason = refusal::draining;
+            }
             retry = this->may_retry(call, outcome.answer);
             if (retry)
             {
--- a/src/node/internal/frame_dispatcher.cpp
+++ b/src/node/internal/frame_dispatcher.cpp
@@ -95,8 +95,11 @@
             frame,
             [&](const auto& cancel)
             {
-                this->inbound_calls.on_cancel(link, cancel.id);
-                this->outbound_calls.on_home_cancel(link, cancel.id);
+                this->inbound_calls.on_cancel(link, cancel);
+                if (!cancel.only_waiting)
+                {
+                    this->outbound_calls.on_home_cancel(link, cancel.id);
+                }
             });
         return;
     case frame_kind::crash_report:
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -34,6 +34,8 @@
 namespace
 {
 constexpr base::duration_ms liveness_check_interval{100};
+//! Time in which the last answers of a stop are written.
+constexpr base::duration_ms last_answers_time{200};
 constexpr base::duration_ms reconnect_interval{200};
 constexpr base::duration_ms settings_check_interval{1000};
 //! Mean delay in the event loop, in ms, from which on it is logged.
@@ -537,6 +539,11 @@
 
     void check_drained(base::time_ms now)
     {
+        if (this->last_answers_end)
+        {
+            this->exit_when_written(now);
+            return;
+        }
         if (this->stop_repeated.exchange(false))
         {
             this->stop_schedule->on_repeated_request(now);
@@ -558,12 +565,16 @@
             this->limit_calls();
             this->caller_server->close();
             return;
+        case decisions::drain_step::recall:
+            this->outbound_calls.recall_waiting(
+                this->stop_schedule->latest_deadline());
+            return;
         case decisions::drain_step::finish:
             LOG(INFO) << "event=drained";
             this->stop(0);
             return;
         case decisions::drain_step::abort:
-            this->force_stop("drain limit");
+            this->answer_left(now);
             return;
         }
     }
@@ -575,6 +586,27 @@
         this->inbound_calls.refuse_waiting(latest_deadline);
     }
 
+    //! Answers the calls that are left, so that no connection is closed without
+    //! a word on what may be sent again.
+    void answer_left(base::time_ms now)
+    {
+        LOG(WARNING) << "event=answer_left calls_as_caller="
+                     << this->outbound_calls.call_count()
+                     << " calls_as_target=" << this->inbound_calls.call_count();
+        this->tables.latest_deadline_ms = INT64_MIN;
+        this->outbound_calls.answer_all();
+        this->last_answers_end = now + last_answers_time;
+    }
+
+    void exit_when_written(base::time_ms now)
+    {
+        const bool written = this->caller_server->unwritten_count() == 0;
+        if (written || now >= *this->last_answers_end)
+        {
+            this->force_stop("drain limit");
+        }
+    }
+
     void force_stop(const char* cause)
     {
         LOG(WARNING) << "event=cut cause=\"" << cause << "\" calls_as_caller="
@@ -619,6 +651,9 @@
     //! Set before \c stopping, by the thread that handles the signal; used by
     //! tick() only from then on.
     std::optional<decisions::drain_schedule> stop_schedule;
+    //! Set once the calls that were left have been answered: when the process
+    //! exits although answers are not written.
+    std::optional<base::time_ms> last_answers_end;
     base::time_ms last_connection_check;
     http::connection_usage last_usage;
     base::time_ms last_liveness_check;
--- a/src/node/internal/outbound_call.hpp
+++ b/src/node/internal/outbound_call.hpp
@@ -86,6 +86,10 @@
     //! An earlier attempt of this call may have run.
     bool earlier_may_have_run{false};
 
+    //! Recalled, as this process ends before its deadline: it is not sent
+    //! again.
+    bool recalled{false};
+
     //! Attempts sent so far.
     std::uint32_t dispatches{0};
     //! The parent call had no retry budget left for this call.
--- a/src/node/internal/target_side.cpp
+++ b/src/node/internal/target_side.cpp
@@ -325,24 +325,43 @@
 }
 
 void target_side::on_cancel(
-    transport::link_id link, std::uint64_t caller_call_id)
+    transport::link_id link, const schema::cancel& cancel)
 {
     const auto id = this->inbound.with(
         [&](inbound_table& table) -> std::optional<std::uint64_t>
         {
-            const auto found =
-                table.by_caller_call_id.find({link, caller_call_id});
+            const auto found = table.by_caller_call_id.find({link, cancel.id});
             return found == table.by_caller_call_id.end()
                        ? std::nullopt
                        : std::optional(found->second);
         });
-    if (id)
+    if (id && cancel.only_waiting)
+    {
+        this->recall(*id);
+    }
+    else if (id)
     {
         this->cancel(*id);
-        return;
     }
-    this->network->withdraw(
-        link, transport::frame_kind::answer, caller_call_id);
+    else if (!cancel.only_waiting)
+    {
+        this->network->withdraw(link, transport::frame_kind::answer, cancel.id);
+    }
+}
+
+void target_side::recall(std::uint64_t id)
+{
+    const bool waited = this->inbound.with(
+        [&](inbound_table& table)
+        {
+            const auto found = table.calls.find(id);
+            return found != table.calls.end() &&
+                   stop_waiting(table, id, found->second);
+        });
+    if (waited)
+    {
+        this->refuse(id, refusal::cancelled);
+    }
 }
 
 bool target_side::stop_waiting(
--- a/src/node/internal/target_side.hpp
+++ b/src/node/internal/target_side.hpp
@@ -94,7 +94,7 @@
     //! Takes a call from another node, or refuses it if there is no memory.
     void on_call(received_call received);
     //! \p caller_call_id is the id that the caller's node gave the call.
-    void on_cancel(transport::link_id link, std::uint64_t caller_call_id);
+    void on_cancel(transport::link_id link, const schema::cancel& cancel);
     void on_link_down(transport::link_id link);
 
     //! Answers a call without a response, since the caller's node has no memory
@@ -105,6 +105,8 @@
     std::uint64_t offer_local(
         schema::call call, base::time_ms deadline, answer_handler reply);
     void cancel(std::uint64_t inbound_id);
+    //! Refuses a call if it does not run yet.
+    void recall(std::uint64_t inbound_id);
 
     //! Context for a nested call that the backend server makes while it serves
     //! an inbound call. Passes on a share of the retry budget. Empty if the
--- a/src/schema/messages.hpp
+++ b/src/schema/messages.hpp
@@ -312,18 +312,22 @@
         archive(this->id);
     }
 };
-//! Cancels a call whose caller is gone; the call is stopped if possible.
+//! Cancels a call whose caller is gone or whose sender stops; the call is
+//! stopped if possible.
 struct cancel
 {
     //! Id of the call to cancel.
     std::uint64_t id{0};
+    //! The call is stopped only if it does not run yet; its answer then says
+    //! so.
+    bool only_waiting{false};
 
     bool operator==(const cancel&) const = default;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(this->id);
+        archive(this->id, this->only_waiting);
     }
 };
 //! Announces that the sender's availability changed.
