--- a/tools/review_cases.py
+++ b/tools/review_cases.py
@@ -17,8 +17,8 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-CASES = [str(number) for number in range(1, 11)]
-SCRIPTS = ["polled_path", "log_reader", "downloads"]
+CASES = [str(number) for number in range(1, 15)]
+SCRIPTS = ["polled_path", "log_reader", "downloads", "limit_after_restart"]
 TIME_LIMIT_S = 300
 # Exit codes of run.sh and of the loose scripts.
 RESULTS = {0: "held", 1: "failed", 3: "failed"}
