--- a/src/directory/fleet_view.hpp
+++ b/src/directory/fleet_view.hpp
@@ -94,6 +94,9 @@
     //! The configuration in force; empty before the first one.
     const std::optional<fleet_configuration>& configuration() const;
 
+    //! Version of the configuration in force; 0 before the first one.
+    std::uint64_t configuration_version() const;
+
     //! Targets of a service, draining ones included, in the order of their
     //! keys. Of
     //! several targets published at one address only the one that started last
--- a/src/directory/internal/fleet_view.cpp
+++ b/src/directory/internal/fleet_view.cpp
@@ -341,6 +341,12 @@
     return this->current_configuration;
 }
 
+std::uint64_t fleet_view::configuration_version() const
+{
+    return this->current_configuration ? this->current_configuration->version
+                                       : 0;
+}
+
 std::vector<target_entry> fleet_view::targets(const std::string& service) const
 {
     std::vector<target_entry> found;
--- a/src/node/internal/directory_follower_peers.cpp
+++ b/src/node/internal/directory_follower_peers.cpp
@@ -34,8 +34,7 @@
         [&](follower_state& state)
         {
             local_revision = state.view.revision();
-            const auto& configuration = state.view.configuration();
-            local_configuration = configuration ? configuration->version : 0;
+            local_configuration = state.view.configuration_version();
             settled = now - state.revision_changed_at >= settle_time;
             const bool behind = digest.revision > local_revision;
             if (behind && !state.behind_since)
@@ -197,8 +196,7 @@
         [&](follower_state& state)
         {
             digest.revision = state.view.revision();
-            const auto& configuration = state.view.configuration();
-            digest.configuration = configuration ? configuration->version : 0;
+            digest.configuration = state.view.configuration_version();
         });
     return digest;
 }
@@ -225,13 +223,12 @@
 
 void directory_follower::announce_revision(base::time_ms now)
 {
-    const auto digest = this->make_digest(now, true);
     const auto hosts = this->state.with(
         [&](follower_state& state) -> std::vector<std::string>
         {
-            const bool announcement_due =
-                now >= state.next_announcement ||
-                digest.revision != state.announced_revision;
+            const auto revision = state.view.revision();
+            const bool announcement_due = now >= state.next_announcement ||
+                                          revision != state.announced_revision;
             const bool watch_current =
                 !state.watcher->is_store_lost() &&
                 now - state.watcher->last_success_time() < response_validity;
@@ -241,13 +238,14 @@
                 return {};
             }
             state.next_announcement = now + announce_interval;
-            state.announced_revision = digest.revision;
+            state.announced_revision = revision;
             return state.role.peers_to_notify;
         });
     if (hosts.empty())
     {
         return;
     }
+    const auto digest = this->make_digest(now, true);
     const auto body = transport::encode(digest);
     for (const auto& host : hosts)
     {
